Add the schema, its generator and the stand-ins

Settings, objects, messages, events and metrics come from schema/*.yaml; the generated code is committed and cargo xtask renews it. The stand-ins play a member, the platform and the links between data centres.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,14 @@
+//! What every other crate rests on: the clock, signals between tasks and numbered log events.
+//!
+//! This crate knows nothing of databases, networks or settings.
+
+mod clock;
+mod event;
+mod generated;
+mod signal;
+
+pub use clock::Ms;
+pub use event::{Field, emit};
+pub use generated::events::{Event, Level};
+pub use generated::metrics::Metric;
+pub use signal::Signal;
--- /dev/null
+++ b/crates/schema/src/answer.rs
@@ -0,0 +1,152 @@
+//! The one table from error kind to the answer a caller gets.
+
+use crate::{Outcome, Why};
+
+/// How an error kind is told to callers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reply {
+    /// SQLSTATE of the error.
+    pub code: &'static str,
+    /// What is known of the request.
+    pub outcome: Outcome,
+    /// When to come back, in ms, unless the refusal says otherwise; 0 when it is of no use.
+    pub retry_ms: u64,
+    /// Whether the caller's connection ends.
+    pub fatal: bool,
+    /// Text of the error.
+    pub text: &'static str,
+}
+
+const fn row(code: &'static str, outcome: Outcome, retry_ms: u64, text: &'static str) -> Reply {
+    Reply {
+        code,
+        outcome,
+        retry_ms,
+        fatal: false,
+        text,
+    }
+}
+
+const fn fatal(code: &'static str, retry_ms: u64, text: &'static str) -> Reply {
+    Reply {
+        code,
+        outcome: Outcome::NotRun,
+        retry_ms,
+        fatal: true,
+        text,
+    }
+}
+
+/// Looks up how an error kind is told.
+pub const fn reply(why: Why) -> Reply {
+    use Outcome::{Done, NotRun, Unknown};
+    match why {
+        Why::None => row("00000", Done, 0, "no error"),
+        Why::NoPrimary => row(
+            "57P03",
+            NotRun,
+            500,
+            "no primary is known; the request was not run",
+        ),
+        Why::NotPrimary => row(
+            "57P03",
+            NotRun,
+            100,
+            "the primary has changed; the request was not run",
+        ),
+        Why::Behind => row(
+            "57P03",
+            NotRun,
+            100,
+            "the replica is behind; the request was not run",
+        ),
+        Why::Overload => row(
+            "53400",
+            NotRun,
+            200,
+            "too much work; the request was not run",
+        ),
+        Why::Deadline => row(
+            "57014",
+            NotRun,
+            200,
+            "the deadline passed; the request was not run",
+        ),
+        Why::NoConfig => fatal("57P03", 1000, "no configuration is known yet"),
+        Why::NoService => fatal("3D000", 0, "no such database service"),
+        Why::NoHome => row(
+            "57P03",
+            NotRun,
+            500,
+            "the member cannot be reached; the request was not run",
+        ),
+        Why::Leaving => row(
+            "57P01",
+            NotRun,
+            100,
+            "the server is stopping; the request was not run",
+        ),
+        Why::LostLink => row(
+            "08007",
+            Unknown,
+            0,
+            "the connection was lost; the outcome is unknown",
+        ),
+        Why::LostTransaction => row(
+            "40003",
+            Unknown,
+            0,
+            "the connection was lost in a transaction that was not committed; it is rolled back",
+        ),
+        Why::Unconfirmed => row(
+            "08007",
+            Unknown,
+            0,
+            "the write is not confirmed; the outcome is unknown",
+        ),
+        Why::Crossed => row(
+            "08007",
+            Unknown,
+            0,
+            "the answer belonged to another request; the outcome is unknown",
+        ),
+        Why::Stale => row(
+            "57P03",
+            NotRun,
+            500,
+            "no data of the accepted age can be reached; the request was not run",
+        ),
+        Why::Auth => fatal("28P01", 0, "password authentication failed"),
+        Why::CallerLimit => fatal("53300", 1000, "too many connections"),
+        Why::TooLarge => fatal(
+            "54000",
+            0,
+            "the message is too large; the request was not run",
+        ),
+        Why::Protocol => fatal("08P01", 0, "the message is malformed or out of order"),
+        Why::Unsupported => row(
+            "0A000",
+            NotRun,
+            0,
+            "the statement would leave state on a shared connection; it was not run",
+        ),
+        Why::KeyFailed => row(
+            "57P03",
+            NotRun,
+            200,
+            "the key could not be recorded; the request was not run",
+        ),
+        Why::IdleTx => fatal(
+            "25P03",
+            0,
+            "the transaction was idle for too long; it is rolled back",
+        ),
+        Why::Cancelled => row(
+            "57014",
+            NotRun,
+            0,
+            "the request was cancelled before it ran",
+        ),
+        Why::Startup => fatal("08P01", 0, "the start-up took too long"),
+    }
+}
--- /dev/null
+++ b/crates/schema/src/load.rs
@@ -0,0 +1,143 @@
+//! Reads and checks a daemon's settings file.
+
+use std::fmt;
+
+use crate::check::{address, names};
+use crate::{Fault, Settings};
+
+/// Shortest secret that is accepted, in characters.
+const SECRET_LEN: usize = 16;
+
+/// Why settings were not accepted.
+#[derive(Debug)]
+pub enum LoadError {
+    /// The file cannot be read.
+    Read(Box<str>, std::io::Error),
+    /// The text does not fit the schema; the message holds line and column.
+    Parse(Box<str>, serde_norway::Error),
+    /// Values are out of range or contradict each other.
+    Check(Box<str>, Vec<(Option<usize>, Fault)>),
+}
+
+impl fmt::Display for LoadError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            LoadError::Read(file, e) => write!(f, "{file}: {e}"),
+            LoadError::Parse(file, e) => match e.location() {
+                Some(at) => write!(f, "{file}:{}:{}: {e}", at.line(), at.column()),
+                None => write!(f, "{file}: {e}"),
+            },
+            LoadError::Check(file, faults) => {
+                for (i, (line, fault)) in faults.iter().enumerate() {
+                    let end = if i + 1 == faults.len() { "" } else { "\n" };
+                    match line {
+                        Some(line) => write!(f, "{file}:{line}: {fault}{end}")?,
+                        None => write!(f, "{file}: {fault}{end}")?,
+                    }
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+impl std::error::Error for LoadError {}
+
+/// Reads and checks a settings file before anything is opened.
+///
+/// # Errors
+/// Names the file, the line where one is known, and what was expected.
+pub fn load_settings(file: &str) -> Result<Settings, LoadError> {
+    let text = std::fs::read_to_string(file).map_err(|e| LoadError::Read(file.into(), e))?;
+    parse_settings(file, &text)
+}
+
+/// As `load_settings`, from text.
+pub(crate) fn parse_settings(file: &str, text: &str) -> Result<Settings, LoadError> {
+    let settings: Settings =
+        serde_norway::from_str(text).map_err(|e| LoadError::Parse(file.into(), e))?;
+    let mut faults = Vec::new();
+    settings.check("", &mut faults);
+    settings.contradictions(&mut faults);
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    let lined = faults
+        .into_iter()
+        .map(|fault| (line_of(text, &fault.path), fault))
+        .collect();
+    Err(LoadError::Check(file.into(), lined))
+}
+
+/// Line on which the last key of a path first stands, looked for below its parents.
+fn line_of(text: &str, path: &str) -> Option<usize> {
+    let mut from = 0;
+    let mut found = None;
+    for part in path.split('.') {
+        let (name, index) = part.split_once('[').map_or((part, 0), |(n, rest)| {
+            (n, rest.trim_end_matches(']').parse::<usize>().unwrap_or(0))
+        });
+        let wanted = format!("{name}:");
+        let starts = |l: &str| l.trim_start().trim_start_matches("- ").starts_with(&wanted);
+        let at = text.lines().skip(from).position(starts)? + from;
+        found = Some(at + 1);
+        from = at + 1;
+        let items = text
+            .lines()
+            .enumerate()
+            .skip(from)
+            .filter(|(_, l)| l.trim_start().starts_with("- "));
+        if part.contains('[') {
+            from = items.map(|(i, _)| i).nth(index).unwrap_or(from);
+        }
+    }
+    found
+}
+
+impl Settings {
+    /// Adds a fault for each pair of values that cannot both hold.
+    fn contradictions(&self, out: &mut Vec<Fault>) {
+        address("listen", &self.listen, out);
+        address("internal", &self.internal, out);
+        address("platform", &self.platform, out);
+        if let Some(statsd) = &self.statsd {
+            address("statsd", statsd, out);
+        }
+        for (i, seed) in self.seeds.iter().enumerate() {
+            address(&format!("seeds[{i}].addr"), &seed.addr, out);
+        }
+        names("seeds", self.seeds.iter().map(|s| &*s.name), out);
+        if self.listen == self.internal {
+            out.push(Fault::new(
+                "internal",
+                "is the same as listen, expected another address",
+            ));
+        }
+        if self.name.is_empty() || self.data_center.is_empty() {
+            out.push(Fault::new("name", "expected a name and a data centre"));
+        }
+        if self.secret.len() < SECRET_LEN {
+            let text = format!("expected {SECRET_LEN} characters at least");
+            out.push(Fault::new("secret", text));
+        }
+        let t = &self.timing;
+        if t.refused_ms >= t.suspect_ms {
+            out.push(Fault::new(
+                "timing.refused_ms",
+                "expected less than suspect_ms",
+            ));
+        }
+        if t.connect_ms > t.deadline_ms {
+            out.push(Fault::new(
+                "timing.connect_ms",
+                "expected no more than deadline_ms",
+            ));
+        }
+        if self.limits.message_bytes > self.limits.answer_bytes {
+            out.push(Fault::new(
+                "limits.message_bytes",
+                "expected no more than answer_bytes",
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/sql.rs
@@ -0,0 +1,405 @@
+//! The few statements the stand-in understands, enough to book a slot and reserve a frame.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::log::{Entry, KEYS_TABLE, Op, Tables, apply};
+use crate::member::{Member, Status};
+
+/// Outcome of one statement.
+pub enum Reply {
+    Rows {
+        names: Vec<&'static str>,
+        rows: Vec<Vec<String>>,
+    },
+    Done(String),
+    Failed {
+        code: &'static str,
+        text: String,
+    },
+}
+
+/// Transaction state of one connection.
+#[derive(Default)]
+pub struct Tx {
+    pub open: bool,
+    pub failed: bool,
+    ops: Vec<Op>,
+    /// Values set with SET, to show leaks between sessions.
+    pub vars: std::collections::BTreeMap<String, String>,
+}
+
+const STATUS_NAMES: [&str; 8] = [
+    "nonce",
+    "term",
+    "leader",
+    "log_term",
+    "log_pos",
+    "contact_ms",
+    "granted",
+    "follow",
+];
+
+fn failed(code: &'static str, text: &str) -> Reply {
+    Reply::Failed {
+        code,
+        text: text.to_owned(),
+    }
+}
+
+fn done(tag: &str) -> Reply {
+    Reply::Done(tag.to_owned())
+}
+
+/// Splits a statement into words, quoted strings (with a leading quote) and punctuation.
+fn tokens(sql: &str) -> Vec<String> {
+    let mut out = Vec::new();
+    let mut chars = sql.chars().peekable();
+    while let Some(c) = chars.next() {
+        if c == '\'' {
+            let mut text = String::from("'");
+            while let Some(d) = chars.next() {
+                if d != '\'' {
+                    text.push(d);
+                } else if chars.peek() == Some(&'\'') {
+                    text.push('\'');
+                    chars.next();
+                } else {
+                    break;
+                }
+            }
+            out.push(text);
+        } else if c == '/' && chars.peek() == Some(&'*') {
+            let mut last = ' ';
+            for d in chars.by_ref() {
+                if last == '*' && d == '/' {
+                    break;
+                }
+                last = d;
+            }
+        } else if c.is_alphanumeric() || "_$.-".contains(c) {
+            let mut word = String::from(c);
+            while let Some(d) = chars.next_if(|d| d.is_alphanumeric() || "_$.-".contains(*d)) {
+                word.push(d);
+            }
+            out.push(word);
+        } else if !c.is_whitespace() {
+            out.push(c.to_string());
+        }
+    }
+    out
+}
+
+/// A token's value: a quoted string, a parameter or a bare word.
+fn value(token: &str, params: &[String]) -> Box<str> {
+    if let Some(text) = token.strip_prefix('\'') {
+        return text.into();
+    }
+    let index = token
+        .strip_prefix('$')
+        .and_then(|n| n.parse::<usize>().ok());
+    match index.and_then(|n| params.get(n.wrapping_sub(1))) {
+        Some(param) => param.as_str().into(),
+        None => token.into(),
+    }
+}
+
+/// Runs one statement, which may take a slot, wait or change the log.
+pub fn run(member: &Member, tx: &mut Tx, sql: &str, params: &[String]) -> Reply {
+    let words = tokens(sql);
+    let lower: Vec<String> = words.iter().map(|w| w.to_lowercase()).collect();
+    let first = lower.first().map_or("", String::as_str);
+    if tx.failed && !matches!(first, "rollback" | "commit" | "end") {
+        return failed("25P02", "current transaction is aborted");
+    }
+    let reply = match first {
+        "" => done(""),
+        "begin" | "start" => {
+            tx.open = true;
+            done("BEGIN")
+        }
+        "rollback" | "abort" => {
+            end(tx);
+            done("ROLLBACK")
+        }
+        "commit" | "end" => commit(member, tx),
+        "set" => {
+            tx.vars.insert(
+                lower[1].clone(),
+                value(&words[words.len() - 1], params).into(),
+            );
+            done("SET")
+        }
+        "reset" | "discard" => {
+            tx.vars.clear();
+            done("RESET")
+        }
+        "show" => {
+            let val = tx.vars.get(&lower[1]).cloned().unwrap_or_default();
+            Reply::Rows {
+                names: vec!["value"],
+                rows: vec![vec![val]],
+            }
+        }
+        "select" if lower.get(1).is_some_and(|w| w.starts_with("hollyreach_")) => {
+            control(member, &lower[1], &words, params)
+        }
+        "select" => member.in_slot(|| select(member, tx, &words, &lower, params)),
+        "insert" | "update" | "delete" => {
+            member.in_slot(|| change(member, tx, &words, &lower, params))
+        }
+        _ => failed("42601", "the stand-in does not know this statement"),
+    };
+    if matches!(reply, Reply::Failed { .. }) && tx.open {
+        tx.failed = true;
+    }
+    reply
+}
+
+fn end(tx: &mut Tx) {
+    tx.open = false;
+    tx.failed = false;
+    tx.ops.clear();
+}
+
+fn commit(member: &Member, tx: &mut Tx) -> Reply {
+    let ops = std::mem::take(&mut tx.ops);
+    let aborted = tx.failed;
+    end(tx);
+    if aborted {
+        return done("ROLLBACK");
+    }
+    if ops.is_empty() {
+        return done("COMMIT");
+    }
+    append(member, ops).unwrap_or_else(|| done("COMMIT"))
+}
+
+/// Appends one transaction to the log; returns the refusal if there is one.
+fn append(member: &Member, ops: Vec<Op>) -> Option<Reply> {
+    let mut state = member.lock();
+    if !state.leader {
+        return Some(failed(
+            "25006",
+            "cannot write: this member is not the primary",
+        ));
+    }
+    if ops.iter().any(|op| repeats_key(&state.log.tables, op)) {
+        return Some(failed(
+            "23505",
+            "duplicate key value violates unique constraint",
+        ));
+    }
+    let term = state.log.term;
+    state.log.append(Entry { term, ops });
+    member.changed.notify_all();
+    None
+}
+
+fn repeats_key(tables: &Tables, op: &Op) -> bool {
+    let Op::Insert { table, key, .. } = op else {
+        return false;
+    };
+    **table == *KEYS_TABLE
+        && tables
+            .get(table)
+            .is_some_and(|rows| rows.iter().any(|r| r.0 == *key))
+}
+
+fn change(
+    member: &Member,
+    tx: &mut Tx,
+    words: &[String],
+    lower: &[String],
+    params: &[String],
+) -> Reply {
+    let Some(op) = parse_change(words, lower, params) else {
+        return failed("42601", "the stand-in cannot read this change");
+    };
+    let mut tables = {
+        let state = member.lock();
+        if !state.leader {
+            return failed("25006", "cannot write: this member is not the primary");
+        }
+        if repeats_key(&state.log.tables, &op) {
+            return failed("23505", "duplicate key value violates unique constraint");
+        }
+        let (Op::Insert { table, .. } | Op::Update { table, .. } | Op::Delete { table, .. }) = &op;
+        let rows = state.log.tables.get(table).cloned().unwrap_or_default();
+        Tables::from([(table.clone(), rows)])
+    };
+    let count = apply(&mut tables, &op);
+    let tag = match &op {
+        Op::Insert { .. } => "INSERT 0 1".to_owned(),
+        Op::Update { .. } => format!("UPDATE {count}"),
+        Op::Delete { .. } => format!("DELETE {count}"),
+    };
+    if tx.open {
+        tx.ops.push(op);
+        return Reply::Done(tag);
+    }
+    append(member, vec![op]).unwrap_or(Reply::Done(tag))
+}
+
+/// `INSERT INTO t (k, v) VALUES (a, b)`, `UPDATE t SET v = b WHERE k = a`, `DELETE FROM t WHERE k = a`.
+fn parse_change(words: &[String], lower: &[String], params: &[String]) -> Option<Op> {
+    let after = |word: &str| lower.iter().position(|w| w == word).map(|i| i + 1);
+    let key = || Some(value(words.get(after("where")? + 2)?, params));
+    match lower[0].as_str() {
+        "insert" => {
+            let at = after("values")?;
+            Some(Op::Insert {
+                table: lower.get(2)?.as_str().into(),
+                key: value(words.get(at + 1)?, params),
+                val: value(words.get(at + 3)?, params),
+            })
+        }
+        "update" => Some(Op::Update {
+            table: lower.get(1)?.as_str().into(),
+            key: key()?,
+            val: value(words.get(after("set")? + 2)?, params),
+        }),
+        _ => Some(Op::Delete {
+            table: lower.get(2)?.as_str().into(),
+            key: key()?,
+        }),
+    }
+}
+
+/// Columns that a SELECT on a table returns.
+pub fn columns(sql: &str) -> Vec<&'static str> {
+    let lower: Vec<String> = tokens(sql).iter().map(|w| w.to_lowercase()).collect();
+    if lower.first().map(String::as_str) == Some("show") {
+        return vec!["value"];
+    }
+    if lower.first().map(String::as_str) != Some("select") {
+        return Vec::new();
+    }
+    if lower[1].starts_with("hollyreach_") {
+        return STATUS_NAMES.to_vec();
+    }
+    let upto = lower
+        .iter()
+        .position(|w| w == "from")
+        .unwrap_or(lower.len());
+    let wanted = &lower[1..upto];
+    let has = |name: &str| wanted.iter().any(|w| w == name);
+    match () {
+        () if has("count") => vec!["count"],
+        () if has("pg_sleep") => vec!["pg_sleep"],
+        () if has("k") && has("v") => vec!["k", "v"],
+        () if has("k") => vec!["k"],
+        () if has("v") => vec!["v"],
+        () => vec!["value"],
+    }
+}
+
+fn select(
+    member: &Member,
+    tx: &Tx,
+    words: &[String],
+    lower: &[String],
+    params: &[String],
+) -> Reply {
+    let names = columns(&words.join(" "));
+    let Some(from) = lower.iter().position(|w| w == "from") else {
+        if names == ["pg_sleep"] {
+            let ms = words[3].parse::<f64>().unwrap_or(0.0).clamp(0.0, 30.0);
+            std::thread::sleep(Duration::from_secs_f64(ms));
+        }
+        return Reply::Rows {
+            names,
+            rows: vec![vec![value(&words[1], params).into()]],
+        };
+    };
+    let table = lower.get(from + 1).map_or("", String::as_str);
+    let mut tables = Tables::new();
+    let rows = member
+        .lock()
+        .log
+        .tables
+        .get(table)
+        .cloned()
+        .unwrap_or_default();
+    tables.insert(table.into(), rows);
+    for op in &tx.ops {
+        apply(&mut tables, op);
+    }
+    let key = lower
+        .iter()
+        .position(|w| w == "where")
+        .and_then(|i| words.get(i + 3));
+    let key = key.map(|token| value(token, params));
+    let rows = tables.remove(table).unwrap_or_default();
+    let hits: Vec<_> = rows
+        .into_iter()
+        .filter(|r| key.as_ref().is_none_or(|k| r.0 == *k))
+        .collect();
+    if names == ["count"] {
+        return Reply::Rows {
+            names,
+            rows: vec![vec![hits.len().to_string()]],
+        };
+    }
+    let pick = |row: &(Box<str>, Box<str>)| {
+        names
+            .iter()
+            .map(|n| {
+                if *n == "k" {
+                    row.0.to_string()
+                } else {
+                    row.1.to_string()
+                }
+            })
+            .collect()
+    };
+    let rows = hits.iter().map(pick).collect();
+    Reply::Rows { names, rows }
+}
+
+/// Control functions; they take no slot.
+fn control(member: &Member, name: &str, words: &[String], params: &[String]) -> Reply {
+    let args: Vec<Box<str>> = words[2..]
+        .iter()
+        .filter(|w| !"(),;".contains(w.as_str()))
+        .map(|w| value(w, params))
+        .collect();
+    let text = |i: usize| args.get(i).map_or("", |a| &**a);
+    let num = |i: usize| text(i).parse::<u64>().unwrap_or(0);
+    let status = match name {
+        "hollyreach_status" => member.status(&member.lock(), false),
+        "hollyreach_wait" => member.wait((num(1), num(2)), Duration::from_millis(num(3)), num(4)),
+        "hollyreach_raise" => member.raise(num(1), text(2)),
+        "hollyreach_promote" => member.promote(num(1), text(2)),
+        "hollyreach_follow" => member.follow(num(1), text(2)),
+        "hollyreach_fault" => {
+            let knob = match text(1) {
+                "lag_ms" => &member.lag_ms,
+                "work_us" => &member.work_us,
+                "lose" => &member.lose,
+                _ => &member.crossed,
+            };
+            knob.store(num(2), Ordering::Relaxed);
+            member.status(&member.lock(), false)
+        }
+        _ => return failed("42883", "no such control function"),
+    };
+    Reply::Rows {
+        names: STATUS_NAMES.to_vec(),
+        rows: vec![status_row(text(0), &status)],
+    }
+}
+
+fn status_row(nonce: &str, s: &Status) -> Vec<String> {
+    let flag = |b: bool| if b { "t" } else { "f" }.to_owned();
+    vec![
+        nonce.to_owned(),
+        s.term.to_string(),
+        flag(s.leader),
+        s.log_term.to_string(),
+        s.log_len.to_string(),
+        s.contact_ms.to_string(),
+        flag(s.granted),
+        s.follow.to_string(),
+    ]
+}
