--- /dev/null
+++ b/crates/daemon/src/cluster.rs
@@ -0,0 +1,274 @@
+//! Groups and members in force on this daemon.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+
+use base::{Event, Ms, Signal, emit};
+use group::MemberReport;
+use pg::Login;
+use schema::{Group, Institution, Member, Pos, Report, qualified};
+
+use crate::home::{Control, Gate, Marks, Pool, Watch};
+use crate::state::Daemon;
+
+/// One member of a group.
+pub struct MemberState {
+    /// Its configuration.
+    pub config: Member,
+    /// How to log in.
+    pub login: Login,
+    /// Connections for statements.
+    pub pool: Pool,
+    /// Statements let through at once.
+    pub gate: Gate,
+    /// What it reports.
+    pub watch: Watch,
+    /// Connection for control statements.
+    pub control: Control,
+    /// While this daemon works as its home; dropping it ends the heartbeat task.
+    pub heartbeat: RefCell<Option<Rc<()>>>,
+}
+
+/// The newest leader known of a group.
+#[derive(Clone, Debug, Default)]
+pub struct Route {
+    /// Its term; never falls.
+    pub term: u64,
+    /// The leader, or empty while none is known.
+    pub leader: Box<str>,
+    /// Since when no leader has been found.
+    pub lost: Option<Ms>,
+}
+
+/// One group.
+pub struct GroupState {
+    /// Qualified name.
+    pub name: Box<str>,
+    /// Its configuration.
+    pub config: Group,
+    /// Its members, in the order of the configuration.
+    pub members: Vec<Rc<MemberState>>,
+    /// The newest leader known.
+    pub route: RefCell<Route>,
+    /// Notified when a member's report or the route changes.
+    pub changed: Rc<Signal>,
+    /// Positions of the primary with the instant at which they were asked for.
+    pub marks: Marks,
+    /// Whether this daemon examines or changes the primary now.
+    pub changing: Cell<bool>,
+    /// Until when new work for the primary is held back, during a planned hand-over.
+    pub paused: Cell<Ms>,
+}
+
+impl GroupState {
+    /// A member by name.
+    pub fn member(&self, name: &str) -> Option<&Rc<MemberState>> {
+        self.members.iter().find(|m| *m.config.name == *name)
+    }
+
+    /// Newest reports of the members.
+    pub fn reports(&self) -> Vec<MemberReport> {
+        self.members
+            .iter()
+            .filter_map(|m| m.watch.report())
+            .collect()
+    }
+
+    /// Newest reports as they are told to others.
+    pub fn told_reports(&self) -> Vec<Report> {
+        let told = |m: &Rc<MemberState>| {
+            let r = m.watch.report()?;
+            Some(Report {
+                member: m.config.name.clone(),
+                term: r.term,
+                leads: r.leads,
+                last: r.last,
+                contact_ms: r.contact_ms,
+                heard_ms: r.asked.elapsed(),
+            })
+        };
+        self.members.iter().filter_map(told).collect()
+    }
+
+    /// Notes a leader if its term is not older than the one known.
+    pub fn note_leader(&self, term: u64, leader: &str) {
+        let mut route = self.route.borrow_mut();
+        let newer = term > route.term || (term == route.term && *route.leader != *leader);
+        if !newer || leader.is_empty() {
+            return;
+        }
+        *route = Route {
+            term,
+            leader: leader.into(),
+            lost: None,
+        };
+        drop(route);
+        self.changed.notify();
+    }
+
+    /// Notes a member's report.
+    pub fn note(&self, member: &MemberState, report: MemberReport) {
+        if report.leads {
+            self.note_leader(report.term, &member.config.name);
+        }
+        member.watch.note(report);
+        self.changed.notify();
+    }
+
+    /// Forgets the leader of a term after it could not be reached.
+    pub fn lose_leader(&self, term: u64) {
+        let mut route = self.route.borrow_mut();
+        if route.term == term && !route.leader.is_empty() {
+            route.leader = "".into();
+            route.lost = Some(Ms::now());
+        }
+    }
+
+    /// The leader known, if any, with its term.
+    pub fn leader(&self) -> Option<(u64, Box<str>)> {
+        let route = self.route.borrow();
+        (!route.leader.is_empty()).then(|| (route.term, route.leader.clone()))
+    }
+
+    /// Newest last position among the reports.
+    pub fn newest(&self) -> Pos {
+        self.reports()
+            .iter()
+            .map(|r| r.last)
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+impl Daemon {
+    /// Brings the groups in line with the configuration in force.
+    pub fn rebuild_groups(self: &Rc<Self>) {
+        let mut next: HashMap<Box<str>, Rc<GroupState>> = HashMap::new();
+        for institution in self.holdings.institutions() {
+            for config in &institution.groups {
+                let name = qualified(&institution.name, &config.name);
+                let group = self.group_for(&institution, &name, config);
+                next.insert(name, group);
+            }
+        }
+        *self.groups.borrow_mut() = next;
+        self.take_up_homes();
+    }
+
+    fn group_for(&self, _institution: &Institution, name: &str, config: &Group) -> Rc<GroupState> {
+        let old = self.group(name);
+        if let Some(old) = old.as_ref().filter(|o| o.config == *config) {
+            return old.clone();
+        }
+        let members = config.members.iter().filter_map(|m| {
+            let kept = old
+                .as_ref()
+                .and_then(|o| o.member(&m.name))
+                .filter(|k| k.config == *m);
+            let login = self.login(config, m)?;
+            if let Some(kept) =
+                kept.filter(|k| k.login.user == login.user && k.login.addr == login.addr)
+            {
+                self.limit(config, kept);
+                return Some(kept.clone());
+            }
+            let member = Rc::new(MemberState {
+                config: m.clone(),
+                login,
+                pool: Pool::default(),
+                gate: Gate::default(),
+                watch: Watch::default(),
+                control: Control::default(),
+                heartbeat: RefCell::default(),
+            });
+            self.limit(config, &member);
+            Some(member)
+        });
+        Rc::new(GroupState {
+            name: name.into(),
+            config: config.clone(),
+            members: members.collect(),
+            route: RefCell::new(old.map(|o| o.route.borrow().clone()).unwrap_or_default()),
+            changed: Rc::default(),
+            marks: Marks::default(),
+            changing: Cell::new(false),
+            paused: Cell::default(),
+        })
+    }
+
+    fn login(&self, group: &Group, member: &Member) -> Option<Login> {
+        Some(Login {
+            addr: self.roster.address(&member.addr)?,
+            user: group.user.clone(),
+            password: group.password.clone(),
+            database: group.database.clone(),
+        })
+    }
+
+    /// Sets this daemon's share of a member's connections and slots.
+    fn limit(&self, group: &Group, member: &MemberState) {
+        let limits = &self.settings.limits;
+        let shared = group
+            .connections
+            .saturating_sub(limits.reserve)
+            .max(limits.homes);
+        member.pool.set_max(shared / limits.homes);
+        member
+            .gate
+            .set_limit(group.slots.div_ceil(limits.homes) + 1, limits.queue);
+    }
+
+    /// Starts and ends the heartbeats of members, as the list of VMs demands.
+    pub fn take_up_homes(self: &Rc<Self>) {
+        let groups: Vec<_> = self.groups.borrow().values().cloned().collect();
+        for group in groups {
+            for member in &group.members {
+                let home = self
+                    .roster
+                    .is_home(&member.config, self.settings.limits.homes);
+                let beating = member.heartbeat.borrow().is_some();
+                if home && !beating {
+                    let alive = Rc::new(());
+                    *member.heartbeat.borrow_mut() = Some(alive.clone());
+                    let handle = MemberHandle::new(&group, member);
+                    monoio::spawn(crate::home::heartbeat(
+                        self.clone(),
+                        handle,
+                        Rc::downgrade(&alive),
+                    ));
+                } else if !home && beating {
+                    member.heartbeat.take();
+                }
+                if self.roster.is_leaving(&member.config.name) {
+                    emit(
+                        Event::MemberLeaving,
+                        &[("group", &group.name), ("member", &member.config.name)],
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// A member with its group, held weakly, so that a task ends when either is gone.
+#[derive(Clone)]
+pub struct MemberHandle {
+    group: Weak<GroupState>,
+    member: Weak<MemberState>,
+}
+
+impl MemberHandle {
+    /// Makes a weak handle.
+    pub fn new(group: &Rc<GroupState>, member: &Rc<MemberState>) -> MemberHandle {
+        MemberHandle {
+            group: Rc::downgrade(group),
+            member: Rc::downgrade(member),
+        }
+    }
+
+    /// The member and its group, while both are in force.
+    pub fn get(&self) -> Option<(Rc<GroupState>, Rc<MemberState>)> {
+        Some((self.group.upgrade()?, self.member.upgrade()?))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/call.rs
@@ -0,0 +1,117 @@
+//! One attempt at the home of a member: on this daemon or on another.
+
+use std::rc::Rc;
+
+use base::Metric;
+use peer::{CallError, Conn};
+use schema::{Answer, Member, Outcome, Run, Why};
+
+use crate::entry::hold::Hold;
+use crate::home::refusal;
+use crate::state::Daemon;
+
+/// Time beyond the deadline that a home has for its own answer, in ms.
+const GRACE_MS: u64 = 50;
+
+/// Result of one attempt: the answer, and what an open transaction holds on to.
+pub struct Tried {
+    /// The home's answer, or a refusal made here.
+    pub answer: Answer,
+    /// Set when the batch left a transaction open.
+    pub hold: Option<Hold>,
+    /// Whether the home could not be reached at all.
+    pub unreached: bool,
+}
+
+impl Daemon {
+    /// Daemons to try for a member, best first, with whether they must be forced.
+    pub fn candidates(&self, member: &Member) -> Vec<(Box<str>, bool)> {
+        let homes = usize::try_from(self.settings.limits.homes).unwrap_or(usize::MAX);
+        let ranking = self.roster.ranking(member);
+        let mut regular: Vec<Box<str>> = ranking.iter().take(homes).cloned().collect();
+        fastrand::shuffle(&mut regular);
+        // This daemon itself first, those that could not be reached lately last.
+        regular.sort_by_key(|n| (self.roster.is_shunned(n), *n != self.roster.me));
+        let stand_ins = ranking
+            .into_iter()
+            .skip(homes)
+            .take(homes)
+            .map(|n| (n, true));
+        regular
+            .into_iter()
+            .map(|n| (n, false))
+            .chain(stand_ins)
+            .collect()
+    }
+
+    /// Sends a batch to a daemon and waits for its answer.
+    pub async fn attempt(self: &Rc<Self>, home: &str, run: Run) -> Tried {
+        if *home == *self.roster.me {
+            let answer = self.run_batch(run, 0).await;
+            let hold = (answer.lease != 0).then(|| Hold::here(self, answer.lease));
+            return Tried {
+                answer,
+                hold,
+                unreached: false,
+            };
+        }
+        self.stats.count(Metric::Hops);
+        let id = run.id;
+        let Some(addr) = self.roster.daemon(home) else {
+            return Tried {
+                answer: refusal(id, Why::NoHome, 0),
+                hold: None,
+                unreached: true,
+            };
+        };
+        let mut conn = match self.peers.take(addr).await {
+            Ok(conn) => conn,
+            Err(_) => {
+                self.roster.shun(home);
+                return Tried {
+                    answer: refusal(id, Why::NoHome, 0),
+                    hold: None,
+                    unreached: true,
+                };
+            }
+        };
+        match remote(&mut conn, &run).await {
+            Ok(answer) if answer.lease != 0 => {
+                let hold = Hold::there(home, answer.lease, conn);
+                Tried {
+                    answer,
+                    hold: Some(hold),
+                    unreached: false,
+                }
+            }
+            Ok(answer) => {
+                self.peers.put(conn);
+                Tried {
+                    answer,
+                    hold: None,
+                    unreached: false,
+                }
+            }
+            Err(answer) => {
+                self.roster.shun(home);
+                let unreached = answer.outcome == Outcome::NotRun;
+                Tried {
+                    answer,
+                    hold: None,
+                    unreached,
+                }
+            }
+        }
+    }
+}
+
+/// One call; the error is the answer that follows from it.
+pub async fn remote(conn: &mut Conn, run: &Run) -> Result<Answer, Answer> {
+    let answer: Result<Answer, CallError> = conn.call("/v1/run", run, run.left_ms + GRACE_MS).await;
+    match answer {
+        Ok(answer) if answer.id == run.id => Ok(answer),
+        Ok(_) => Err(refusal(run.id, Why::Crossed, 0)),
+        Err(e) if e.is_not_sent() => Err(refusal(run.id, Why::NoHome, 0)),
+        Err(_) => Err(refusal(run.id, Why::LostLink, 0)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! The entry: callers' sessions, what their requests are, and where each goes.
+
+mod accept;
+mod assemble;
+mod call;
+mod hold;
+mod local;
+mod plan;
+mod read;
+mod session;
+mod sessions;
+mod write;
+
+pub use accept::accept;
+pub use plan::Plan;
+pub use sessions::{Sessions, key_of};
--- /dev/null
+++ b/crates/daemon/src/entry/read.rs
@@ -0,0 +1,111 @@
+//! Reads: the nearest replica that can prove what the read demands, else the primary.
+
+use std::rc::Rc;
+
+use base::{Metric, Ms};
+use schema::{Outcome, Run, Why};
+
+use crate::cluster::{GroupState, MemberState};
+use crate::entry::call::Tried;
+use crate::entry::plan::Plan;
+use crate::home::refusal;
+use crate::state::Daemon;
+
+/// Share of the time left that one attempt at a replica may take, as a divisor.
+const ATTEMPT_SHARE: u64 = 3;
+
+/// Where a read was served, with the reason when it was the primary.
+pub struct Read {
+    /// The last attempt.
+    pub tried: Tried,
+    /// `replica`, or `primary: REASON`.
+    pub place: String,
+}
+
+impl Daemon {
+    /// Runs a read.
+    pub async fn run_read(
+        self: &Rc<Self>,
+        group: &Rc<GroupState>,
+        plan: &Plan,
+        run: Run,
+        until: Ms,
+    ) -> Read {
+        let mut reason = Why::NoHome;
+        for member in self.replicas(group) {
+            if member.config.name.is_empty() || until.left() == 0 {
+                break;
+            }
+            match self.try_replica(&member, &run, until).await {
+                Ok(tried) => {
+                    return Read {
+                        tried,
+                        place: "replica".to_owned(),
+                    };
+                }
+                Err(why) => reason = why,
+            }
+        }
+        if plan.describe && reason == Why::NoHome {
+            reason = Why::NoPrimary;
+        }
+        let mut tried = self.run_on_primary(group, plan, run, until).await;
+        // A read has no effect, so "not run" is true of one whose answer was withheld.
+        if tried.answer.outcome == Outcome::Unknown {
+            tried.answer = refusal(tried.answer.id, Why::Stale, 0);
+        }
+        Read {
+            tried,
+            place: format!("primary: {reason:?}"),
+        }
+    }
+
+    /// Replicas in the order to try: this data centre first, and those that leave not at all.
+    fn replicas(&self, group: &GroupState) -> Vec<Rc<MemberState>> {
+        let leader = group.leader().map(|(_, name)| name).unwrap_or_default();
+        let stays = |m: &&Rc<MemberState>| {
+            m.config.name != leader && !self.roster.is_leaving(&m.config.name)
+        };
+        let mut list: Vec<_> = group.members.iter().filter(stays).cloned().collect();
+        fastrand::shuffle(&mut list);
+        list.sort_by_key(|m| m.config.data_center != self.roster.data_center);
+        list
+    }
+
+    /// Tries the homes of one replica; the error says why it did not serve.
+    async fn try_replica(
+        self: &Rc<Self>,
+        member: &Rc<MemberState>,
+        run: &Run,
+        until: Ms,
+    ) -> Result<Tried, Why> {
+        let mut last = Why::NoHome;
+        for (home, force) in self
+            .candidates(&member.config)
+            .into_iter()
+            .filter(|(_, force)| !force)
+        {
+            let left_ms = (until.left() / ATTEMPT_SHARE).max(1);
+            let attempt = Run {
+                member: member.config.name.clone(),
+                force,
+                left_ms,
+                ..run.clone()
+            };
+            let tried = self.attempt(&home, attempt).await;
+            if tried.answer.outcome == Outcome::Done {
+                self.stats.count(Metric::ReplicaReads);
+                return Ok(tried);
+            }
+            last = tried.answer.why;
+            let elsewhere = matches!(
+                last,
+                Why::NoHome | Why::Overload | Why::NoConfig | Why::Leaving
+            );
+            if !elsewhere {
+                break;
+            }
+        }
+        Err(last)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/session.rs
@@ -0,0 +1,356 @@
+//! One caller's session, from its first request to its end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Event, Ms, emit};
+use bytes::BytesMut;
+use pg::{Caller, error_frame, frames};
+use schema::{Answer, Class, Institution, Outcome, Pos, Run, Var, Why, qualified};
+
+use crate::entry::accept::TOKEN;
+use crate::entry::assemble::{End, Names, Request, next_request};
+use crate::entry::hold::Hold;
+use crate::entry::local::{self, Local};
+use crate::entry::plan::Plan;
+use crate::entry::sessions::Current;
+use crate::home::refusal;
+use crate::state::Daemon;
+
+/// A session.
+pub struct Session {
+    daemon: Rc<Daemon>,
+    institution: Box<str>,
+    service: Box<str>,
+    group: Box<str>,
+    user: Box<str>,
+    /// Confirmed position that every later read must contain; none until one is known.
+    token: Option<Pos>,
+    names: Names,
+    vars: Vec<Var>,
+    /// Settings changed in the open transaction.
+    pending: Vec<Var>,
+    /// The open transaction.
+    hold: Option<Hold>,
+    /// Transaction state that the caller knows: I, T or E.
+    status: u8,
+    /// Whether the caller goes on with a batch that it flushed.
+    flushed: bool,
+    current: Current,
+}
+
+impl Session {
+    /// A session that has just logged in.
+    pub fn new(
+        daemon: Rc<Daemon>,
+        institution: &Institution,
+        service: &str,
+        user: &str,
+        token: Option<Pos>,
+        current: Current,
+    ) -> Session {
+        let group = institution
+            .service(service)
+            .map(|s| s.group.clone())
+            .unwrap_or_default();
+        Session {
+            daemon,
+            institution: institution.name.clone(),
+            service: service.into(),
+            group: qualified(&institution.name, &group),
+            user: user.into(),
+            token,
+            names: Names::default(),
+            vars: Vec::new(),
+            pending: Vec::new(),
+            hold: None,
+            status: b'I',
+            flushed: false,
+            current,
+        }
+    }
+
+    /// Serves the caller until it leaves, breaks the protocol, or the daemon stops.
+    pub async fn serve(mut self, mut caller: Caller) {
+        loop {
+            let why = match self.next(&mut caller).await {
+                Ok(Some(request)) => {
+                    let out = self.answer(&mut caller, request).await;
+                    match out {
+                        Some(out) if caller.send(&out).await.is_ok() => {}
+                        _ => return,
+                    }
+                    caller.shrink();
+                    continue;
+                }
+                Ok(None) => return,
+                Err(why) => why,
+            };
+            let _ = caller.send(&error_frame(why, 0, "")).await;
+            emit(
+                Event::CallerRefused,
+                &[("why", &format!("{why:?}")), ("user", &self.user)],
+            );
+            return;
+        }
+    }
+
+    /// The next request; the error ends the session.
+    async fn next(&mut self, caller: &mut Caller) -> Result<Option<Request>, Why> {
+        let limit = self.daemon.settings.limits.message_bytes * 4;
+        let idle_tx = self.daemon.settings.timing.idle_tx_ms;
+        let daemon = self.daemon.clone();
+        loop {
+            let seen = daemon.stop.count();
+            if daemon.closing.get() && self.status == b'I' && !caller.has_input() {
+                return Err(Why::Leaving);
+            }
+            let in_transaction = self.status != b'I';
+            let read = next_request(caller, &mut self.names, limit);
+            if in_transaction {
+                let bounded = monoio::time::timeout(Duration::from_millis(idle_tx), read);
+                return bounded.await.unwrap_or(Err(Why::IdleTx));
+            }
+            monoio::select! {
+                result = read => return result,
+                () = daemon.stop.wait_past(seen) => {}
+            }
+        }
+    }
+
+    /// Runs a request and makes the bytes of its answer; `None` ends the session.
+    async fn answer(&mut self, caller: &mut Caller, request: Request) -> Option<BytesMut> {
+        let begin = Ms::now();
+        let started = std::time::Instant::now();
+        let mut out = BytesMut::new();
+        let sync = request.end == End::Sync;
+        if request.batch.steps.is_empty() && !request.batch.simple {
+            self.flushed = false;
+            Caller::put_ready(&mut out, self.status);
+            return Some(out);
+        }
+        let mut taint = None;
+        if let [text] = &request.texts[..] {
+            match local::judge(text) {
+                Local::No => {}
+                Local::Set(var) => taint = Some(var),
+                other => {
+                    self.answer_local(&other, &request, &mut out);
+                    if sync {
+                        Caller::put_ready(&mut out, self.status);
+                    }
+                    return Some(out);
+                }
+            }
+        }
+        let config = self.daemon.holdings.institution(&self.institution);
+        let Some(service) = config.as_ref().and_then(|i| i.service(&self.service)) else {
+            out.extend_from_slice(&error_frame(Why::NoService, 0, ""));
+            return Some(out);
+        };
+        let plan = Plan::of(service, &request.texts);
+        let until = begin.plus(service.deadline_ms);
+        let run = self.run_of(&plan, request, taint.is_some(), until);
+        let (daemon, current) = (self.daemon.clone(), self.current.clone());
+        let (answer, place) = monoio::select! {
+            done = self.dispatch(&plan, run, until) => done,
+            () = caller.closed() => {
+                let running = current.borrow().clone();
+                if let Some((id, home)) = running {
+                    daemon.cancel_run(id, &home).await;
+                }
+                return None;
+            }
+        };
+        let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.daemon
+            .stats
+            .note(&self.institution, &plan, &answer, &place, took);
+        self.take_answer(&plan, &answer, taint, &mut out);
+        if sync {
+            Caller::put_ready(&mut out, self.status);
+        }
+        Some(out)
+    }
+
+    fn run_of(&self, plan: &Plan, request: Request, taint: bool, until: Ms) -> Run {
+        Run {
+            id: self.daemon.fresh_id(),
+            group: self.group.clone(),
+            member: "".into(),
+            user: self.user.clone(),
+            taint,
+            lease: 0,
+            class: if plan.read { Class::Read } else { Class::Write },
+            primary: false,
+            fresh: self.token.is_none() && !plan.describe,
+            force: false,
+            need: self.token.unwrap_or(Pos::ZERO),
+            max_age_ms: plan.max_age,
+            left_ms: until.left(),
+            key: plan.key.clone(),
+            vars: self.vars.clone(),
+            batch: request.batch,
+        }
+    }
+
+    /// Sends a request where it belongs; also tells where a read was served.
+    async fn dispatch(&mut self, plan: &Plan, run: Run, until: Ms) -> (Answer, String) {
+        let id = run.id;
+        if self.status == b'E' && self.hold.is_none() {
+            return (self.in_lost_transaction(&run), String::new());
+        }
+        if let Some(mut hold) = self.hold.take() {
+            *self.current.borrow_mut() = Some((id, hold.home.clone()));
+            let (answer, open) = hold.go_on(run).await;
+            if open {
+                self.hold = Some(hold);
+            } else if answer.outcome == Outcome::Done {
+                hold.finish(&self.daemon);
+            }
+            return (answer, String::new());
+        }
+        let Some(group) = self.daemon.group(&self.group) else {
+            return (refusal(id, Why::NoConfig, 0), String::new());
+        };
+        *self.current.borrow_mut() = Some((id, "".into()));
+        let (tried, place) = if plan.read {
+            let read = self.daemon.run_read(&group, plan, run, until).await;
+            (read.tried, read.place)
+        } else {
+            (
+                self.daemon.run_on_primary(&group, plan, run, until).await,
+                String::new(),
+            )
+        };
+        *self.current.borrow_mut() = None;
+        self.hold = tried.hold;
+        (tried.answer, place)
+    }
+
+    /// After the loss of its connection a transaction only accepts its end, as servers do.
+    fn in_lost_transaction(&self, run: &Run) -> Answer {
+        let text = run
+            .batch
+            .prepares
+            .first()
+            .map_or(&*run.batch.sql, |p| &*p.sql);
+        let text = schema::normalize(text);
+        let mut answer = refusal(run.id, Why::LostTransaction, 0);
+        if ["rollback", "commit", "end", "abort"]
+            .iter()
+            .any(|w| text.starts_with(w))
+            && run.batch.simple
+        {
+            let mut body = BytesMut::new();
+            local::put_tag(&mut body, "ROLLBACK");
+            answer = Answer {
+                outcome: Outcome::Done,
+                why: Why::None,
+                body: body.to_vec().into(),
+                ..answer
+            };
+        }
+        answer
+    }
+
+    /// Takes over what an answer changes for the session, and makes its bytes.
+    fn take_answer(
+        &mut self,
+        plan: &Plan,
+        answer: &Answer,
+        taint: Option<Var>,
+        out: &mut BytesMut,
+    ) {
+        let was_open = self.status != b'I';
+        if answer.outcome != Outcome::Done {
+            out.extend_from_slice(&error_frame(answer.why, answer.retry_ms, ""));
+            if answer.outcome == Outcome::Unknown {
+                emit(
+                    Event::RequestUnknown,
+                    &[
+                        ("user", &self.user),
+                        ("rule", &plan.rule),
+                        ("why", &format!("{:?}", answer.why)),
+                    ],
+                );
+            }
+            if was_open && self.hold.is_none() {
+                self.status = b'E';
+                self.pending.clear();
+            }
+            return;
+        }
+        out.extend_from_slice(&answer.body);
+        self.status = answer.status;
+        if let Some(var) = taint
+            && !frames(&answer.body).iter().any(|f| f.tag == b'E')
+        {
+            let list = if self.status == b'I' {
+                &mut self.vars
+            } else {
+                &mut self.pending
+            };
+            put_var(list, var);
+        }
+        if self.status == b'I' {
+            self.names.end_transaction();
+            let committed = frames(&answer.body)
+                .iter()
+                .any(|f| f.tag == b'C' && f.body().starts_with(b"COMMIT"));
+            for var in std::mem::take(&mut self.pending) {
+                if committed {
+                    put_var(&mut self.vars, var);
+                }
+            }
+        }
+        self.raise_token(plan, answer, out);
+    }
+
+    /// Raises the token. A read of aged data leaves a session without token as it is, because it
+    /// proves nothing of what the session may have written elsewhere.
+    fn raise_token(&mut self, plan: &Plan, answer: &Answer, out: &mut BytesMut) {
+        if answer.pos == Pos::ZERO || plan.describe {
+            return;
+        }
+        if self.token.is_none() && plan.max_age.is_some() {
+            return;
+        }
+        let old = self.token.unwrap_or(Pos::ZERO);
+        self.token = Some(old.max(answer.pos));
+        if !plan.read && self.token > Some(old) {
+            Caller::put_param(out, TOKEN, &answer.pos.to_string());
+        }
+    }
+
+    fn answer_local(&mut self, what: &Local, request: &Request, out: &mut BytesMut) {
+        if !request.batch.simple {
+            out.extend_from_slice(&error_frame(Why::Unsupported, 0, "use a simple query"));
+            return;
+        }
+        match what {
+            Local::Token(token) => {
+                self.token = *token;
+                local::put_tag(out, "SET");
+            }
+            Local::ShowToken => {
+                let text = self.token.map(|t| t.to_string()).unwrap_or_default();
+                local::put_value(out, TOKEN, &text);
+            }
+            Local::Deallocate => local::put_tag(out, "DEALLOCATE"),
+            Local::Discard(tag) if self.status == b'I' => {
+                self.vars.clear();
+                if *tag == "DISCARD ALL" {
+                    self.names.clear();
+                }
+                local::put_tag(out, tag);
+            }
+            _ => out.extend_from_slice(&error_frame(Why::Unsupported, 0, "")),
+        }
+    }
+}
+
+fn put_var(list: &mut Vec<Var>, var: Var) {
+    list.retain(|v| v.name != var.name);
+    list.push(var);
+}
--- /dev/null
+++ b/crates/daemon/src/home/confirm.rs
@@ -0,0 +1,86 @@
+//! Confirmation by a majority of members, of writes and of reads on a primary.
+
+use std::rc::Rc;
+
+use base::Ms;
+use group::{MemberReport, confirmed, majority, verified};
+
+use crate::cluster::{GroupState, MemberHandle};
+use crate::gather::signalled;
+use crate::home::marks::Mark;
+use crate::state::Daemon;
+
+impl Daemon {
+    /// Waits until a majority holds what the primary reported, at the primary's own term.
+    ///
+    /// With `since`, the term must also have been the newest of a majority at that instant, so
+    /// that no later primary can have acknowledged anything before it.
+    pub async fn confirm(
+        self: &Rc<Self>,
+        group: &Rc<GroupState>,
+        primary: (&str, &MemberReport),
+        since: Option<Ms>,
+        until: Ms,
+    ) -> bool {
+        let (name, own) = primary;
+        let count = group.members.len();
+        loop {
+            let seen = group.changed.count();
+            let others = group.members.iter().filter(|m| *m.config.name != *name);
+            let reports: Vec<MemberReport> = others
+                .clone()
+                .filter_map(|m| m.watch.report())
+                .chain([own.clone()])
+                .collect();
+            let held = confirmed(own.last, own.term, reports.iter(), count);
+            let newest = since.is_none_or(|at| verified(own.term, at, reports.iter(), count));
+            if held && newest {
+                return true;
+            }
+            // Members of a later term can confirm nothing of this one any more.
+            let gone = reports.iter().filter(|r| r.term > own.term).count();
+            if count - gone < majority(count) || until.left() == 0 {
+                return false;
+            }
+            for member in others {
+                let handle = MemberHandle::new(group, member);
+                member
+                    .watch
+                    .want(self, &handle, own.last, since.unwrap_or_default());
+            }
+            signalled(&group.changed, seen, until.left()).await;
+        }
+    }
+
+    /// Asks the primary for its position, no earlier than `since`.
+    pub async fn fetch_mark(
+        self: &Rc<Self>,
+        group: &Rc<GroupState>,
+        since: Ms,
+        until: Ms,
+    ) -> Option<Mark> {
+        loop {
+            let seen = group.changed.count();
+            let (_, leader) = group.leader()?;
+            let member = group.member(&leader)?;
+            if let Some(r) = member.watch.report().filter(|r| r.asked >= since) {
+                if !r.leads {
+                    return None;
+                }
+                let mark = Mark {
+                    pos: r.last,
+                    term: r.term,
+                    asked: r.asked,
+                };
+                group.marks.add(mark);
+                return Some(mark);
+            }
+            if until.left() == 0 {
+                return None;
+            }
+            let handle = MemberHandle::new(group, member);
+            member.watch.want(self, &handle, schema::Pos::ZERO, since);
+            signalled(&group.changed, seen, until.left()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/home/run.rs
@@ -0,0 +1,460 @@
+//! Runs one batch on a member and answers for what is known of it.
+//!
+//! `send` is the one place where the bytes of a request leave for an upstream. Everything before
+//! it may refuse with "not run"; everything after it answers, or says "unknown".
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Event, Ms, emit};
+use group::MemberReport;
+use pg::{Job, LostError, Ran, frames};
+use schema::{Answer, ByteBuf, Class, Outcome, Pos, Run, Why, reply};
+
+use crate::cluster::{GroupState, MemberState};
+use crate::home::lease::Lease;
+use crate::home::marks::Mark;
+use crate::home::pool::Taken;
+use crate::state::Daemon;
+
+/// SQLSTATE of a write on a member that does not lead.
+const READ_ONLY: &[u8] = b"C25006\0";
+
+/// An answer that is not the upstream's.
+pub fn refusal(id: u64, why: Why, retry_ms: u64) -> Answer {
+    let row = reply(why);
+    Answer {
+        id,
+        outcome: row.outcome,
+        why,
+        retry_ms: if retry_ms == 0 {
+            row.retry_ms
+        } else {
+            retry_ms
+        },
+        body: ByteBuf::new(),
+        status: b'I',
+        lease: 0,
+        pos: Pos::ZERO,
+        term: 0,
+        leader: "".into(),
+        age_ms: 0,
+    }
+}
+
+/// Counts a running batch, also when its task is dropped.
+struct Counted<'a>(&'a Cell<u64>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<u64>) -> Counted<'a> {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Where a batch runs, and until when.
+pub(super) struct Place {
+    pub group: Rc<GroupState>,
+    pub member: Rc<MemberState>,
+    /// When the request came.
+    pub begin: Ms,
+    pub until: Ms,
+}
+
+/// What must hold for a read on a replica before and after it runs.
+#[derive(Clone, Copy)]
+struct Proof {
+    floor: Pos,
+    mark: Option<Mark>,
+    /// Term of the replica before the read; its history must not have changed since.
+    term: u64,
+}
+
+impl Daemon {
+    /// Runs one batch as the home of a member; `link` is the peer connection it came on.
+    pub async fn run_batch(self: &Rc<Self>, run: Run, link: u64) -> Answer {
+        let begin = Ms::now();
+        let counted = Counted::new(&self.running);
+        let mut answer = self.run_here(&run, link, begin).await;
+        drop(counted);
+        if let Some(group) = self.group(&run.group) {
+            let route = group.route.borrow();
+            answer.term = route.term;
+            answer.leader = route.leader.clone();
+        }
+        answer
+    }
+
+    async fn run_here(self: &Rc<Self>, run: &Run, link: u64, begin: Ms) -> Answer {
+        let Some(group) = self.group(&run.group) else {
+            return refusal(run.id, Why::NoConfig, 0);
+        };
+        let Some(member) = group.member(&run.member).cloned() else {
+            return refusal(run.id, Why::NoHome, 0);
+        };
+        let place = Place {
+            group,
+            member,
+            begin,
+            until: begin.plus(run.left_ms),
+        };
+        if run.lease != 0 {
+            return self.go_on(run, place, link).await;
+        }
+        if let Err(why) = self.admit(run, &place) {
+            return refusal(run.id, why, 0);
+        }
+        let permit = match place.member.gate.enter(&run.user, place.until).await {
+            Ok(permit) => permit,
+            Err(refused) => return refusal(run.id, refused.why, refused.retry_ms),
+        };
+        let taken = match place
+            .member
+            .pool
+            .take(&place.member.login, place.until)
+            .await
+        {
+            Ok(taken) => taken,
+            Err(why) => return refusal(run.id, why, 0),
+        };
+        let answer = if run.key.is_empty() {
+            self.begin_on(run, &place, taken, link, permit).await
+        } else {
+            self.run_keyed(run, &place, taken).await
+        };
+        answer.unwrap_or_else(|why| refusal(run.id, why, 0))
+    }
+
+    /// Checks that need no upstream.
+    fn admit(&self, run: &Run, place: &Place) -> Result<(), Why> {
+        let member = &place.member;
+        if !run.force && member.heartbeat.borrow().is_none() {
+            return Err(Why::NoHome);
+        }
+        let leads = member.watch.report().is_some_and(|r| r.leads);
+        if run.primary && place.group.paused.get().left() > 0 {
+            return Err(Why::NotPrimary);
+        }
+        if run.primary && !leads && !run.force {
+            return Err(Why::NotPrimary);
+        }
+        if self.roster.is_leaving(&member.config.name) && !(run.primary && leads) {
+            return Err(Why::Leaving);
+        }
+        Ok(())
+    }
+
+    async fn begin_on(
+        self: &Rc<Self>,
+        run: &Run,
+        place: &Place,
+        mut taken: Taken,
+        link: u64,
+        permit: crate::home::gate::Permit,
+    ) -> Result<Answer, Why> {
+        let proof = self.prove(run, place, &mut taken).await?;
+        if place.until.left() == 0 {
+            return Err(Why::Deadline);
+        }
+        let (ran, report) = match self.send(run, place, &mut taken).await {
+            Ok(done) => done,
+            Err(why) => return Ok(refusal(run.id, why, 0)),
+        };
+        drop(permit);
+        let (status, leads) = (ran.status, report.as_ref().is_some_and(|r| r.leads));
+        if run.primary && !leads && (status != b'I' || is_read_only(&ran)) {
+            // Nothing was committed: the member refused to write, or its transaction ends here.
+            return Err(Why::NotPrimary);
+        }
+        if status != b'I' {
+            let lease = Lease {
+                taken,
+                place: (run.group.clone(), run.member.clone()),
+                link,
+                used: Ms::now(),
+                taint: run.taint,
+            };
+            self.leases.put(run.id, lease);
+            return Ok(done(run, ran, Pos::ZERO, run.id));
+        }
+        if run.taint {
+            taint(&mut taken);
+        }
+        taken.give_back();
+        self.vouch(run, place, ran, report, proof).await
+    }
+
+    /// Goes on with an open transaction.
+    async fn go_on(self: &Rc<Self>, run: &Run, place: Place, link: u64) -> Answer {
+        let Some(mut lease) = self.leases.take(run.lease) else {
+            return refusal(run.id, Why::LostTransaction, 0);
+        };
+        if lease.link != link || lease.place != (run.group.clone(), run.member.clone()) {
+            return refusal(run.id, Why::LostTransaction, 0);
+        }
+        let ends = ends_transaction(run);
+        let (ran, report) = match self.send(run, &place, &mut lease.taken).await {
+            Ok(done) => done,
+            // Without a COMMIT under way the loss of the connection rolls everything back.
+            Err(why) => return refusal(run.id, if ends { why } else { Why::LostTransaction }, 0),
+        };
+        lease.used = Ms::now();
+        lease.taint |= run.taint;
+        if ran.status != b'I' {
+            self.leases.put(run.lease, lease);
+            return done(run, ran, Pos::ZERO, run.lease);
+        }
+        if lease.taint {
+            taint(&mut lease.taken);
+        }
+        lease.taken.give_back();
+        let proof = Proof {
+            floor: Pos::ZERO,
+            mark: None,
+            term: 0,
+        };
+        let answer = self.vouch(run, &place, ran, report, proof).await;
+        answer.unwrap_or_else(|why| refusal(run.id, why, 0))
+    }
+
+    /// Sends a batch and collects its whole answer. After an error it may have run.
+    pub(super) async fn send(
+        &self,
+        run: &Run,
+        place: &Place,
+        taken: &mut Taken,
+    ) -> Result<(Ran, Option<MemberReport>), Why> {
+        let nonce = format!("{:x}", self.fresh_id());
+        let fence = (self.shape.status)(&nonce);
+        let limit = usize::try_from(self.settings.limits.answer_bytes).unwrap_or(usize::MAX);
+        let job = Job {
+            batch: &run.batch,
+            vars: &run.vars,
+            fence: &fence,
+            nonce: &nonce,
+            limit,
+        };
+        let asked = Ms::now();
+        let conn = taken.conn();
+        let key = conn.key;
+        self.cancels.note(run.id, place.member.login.addr, key);
+        let sent =
+            monoio::time::timeout(Duration::from_millis(place.until.left()), conn.run(&job)).await;
+        self.cancels.forget(run.id);
+        let error = match sent {
+            Ok(Ok(ran)) => {
+                let report = ran
+                    .fence
+                    .as_ref()
+                    .and_then(|row| (self.shape.parse)(row, asked));
+                if let Some(report) = &report {
+                    place.group.note(&place.member, report.clone());
+                }
+                return Ok((ran, report));
+            }
+            Ok(Err(e)) => e,
+            Err(_) => LostError::Io(std::io::ErrorKind::TimedOut.into()),
+        };
+        // Answers may still be under way, so the connection must not go back to the pool.
+        conn.status = b'?';
+        let event = if matches!(error, LostError::Crossed) {
+            Event::UpstreamCrossed
+        } else {
+            Event::UpstreamLost
+        };
+        emit(
+            event,
+            &[("member", &run.member), ("id", &run.id), ("error", &error)],
+        );
+        Err(error.why())
+    }
+
+    /// Finds what a replica must contain, and waits a little for it.
+    async fn prove(
+        self: &Rc<Self>,
+        run: &Run,
+        place: &Place,
+        taken: &mut Taken,
+    ) -> Result<Proof, Why> {
+        if run.primary {
+            return Ok(Proof {
+                floor: Pos::ZERO,
+                mark: None,
+                term: 0,
+            });
+        }
+        let group = &place.group;
+        let known = place.member.watch.report();
+        let last = known.as_ref().map_or(Pos::ZERO, |r| r.last);
+        let (floor, mark) = if let Some(max_age) = run.max_age_ms {
+            let mark = self
+                .mark_within(group, last, max_age, place)
+                .await
+                .ok_or(Why::Stale)?;
+            (mark.pos, Some(mark))
+        } else if run.fresh {
+            let mark = self
+                .fetch_mark(group, place.begin, place.until)
+                .await
+                .ok_or(Why::NoPrimary)?;
+            (mark.pos.max(run.need), Some(mark))
+        } else {
+            (run.need, None)
+        };
+        // Until a member holds an entry of its own term, its log may end in entries that no
+        // majority holds, so it serves nothing.
+        let passed = |r: &MemberReport| r.last >= floor && r.last.term == r.term;
+        if let Some(report) = known.filter(passed) {
+            return Ok(Proof {
+                floor,
+                mark,
+                term: report.term,
+            });
+        }
+        let sql = (self.shape.wait)(floor, self.settings.timing.lag_wait_ms, u64::MAX >> 1);
+        let asked = Ms::now();
+        let row = taken.conn().ask(&sql).await.map_err(|_| {
+            taken.conn().status = b'?';
+            Why::NoHome
+        })?;
+        let report = (self.shape.parse)(&row, asked).ok_or(Why::NoHome)?;
+        group.note(&place.member, report.clone());
+        if passed(&report) {
+            Ok(Proof {
+                floor,
+                mark,
+                term: report.term,
+            })
+        } else {
+            Err(Why::Behind)
+        }
+    }
+
+    /// A mark that the replica passed and that is young enough; asks the primary if need be.
+    async fn mark_within(
+        self: &Rc<Self>,
+        group: &Rc<GroupState>,
+        last: Pos,
+        max_age: u64,
+        place: &Place,
+    ) -> Option<Mark> {
+        let old = group
+            .marks
+            .newest()
+            .is_none_or(|m| m.asked.elapsed() > self.settings.timing.mark_ms.min(max_age / 2));
+        if old && !group.marks.fetching.replace(true) {
+            let (daemon, group, until) = (self.clone(), group.clone(), place.until);
+            monoio::spawn(async move {
+                daemon.fetch_mark(&group, Ms::now(), until).await;
+                group.marks.fetching.set(false);
+            });
+        }
+        if let Some(mark) = group
+            .marks
+            .passed(last)
+            .filter(|m| m.asked.elapsed() <= max_age / 2)
+        {
+            return Some(mark);
+        }
+        // The replica may have gone on since its last report, up to a mark that is still young.
+        if let Some(mark) = group
+            .marks
+            .newest()
+            .filter(|m| m.asked.elapsed() <= max_age / 2)
+        {
+            return Some(mark);
+        }
+        self.fetch_mark(group, place.begin, place.until).await
+    }
+
+    /// Decides whether an answer may leave, and with which position.
+    async fn vouch(
+        self: &Rc<Self>,
+        run: &Run,
+        place: &Place,
+        ran: Ran,
+        report: Option<MemberReport>,
+        proof: Proof,
+    ) -> Result<Answer, Why> {
+        let lost = if run.class == Class::Read {
+            Why::Behind
+        } else {
+            Why::Unconfirmed
+        };
+        let Some(report) = report else {
+            return Ok(refusal(run.id, lost, 0));
+        };
+        if run.primary || report.leads {
+            let since = (run.class == Class::Read).then_some(place.begin);
+            let sure = report.leads
+                && self
+                    .confirm(&place.group, (&run.member, &report), since, place.until)
+                    .await;
+            if !sure {
+                return Ok(refusal(run.id, lost, 0));
+            }
+        } else {
+            // A replica that moved to another term since the mark proves nothing about it.
+            let same =
+                proof.term == report.term && proof.mark.is_none_or(|m| m.term == report.term);
+            if !same || report.last < proof.floor {
+                return Err(Why::Behind);
+            }
+        }
+        let mut answer = done(run, ran, report.last, 0);
+        if let Some(mark) = proof.mark {
+            answer.age_ms = mark.asked.elapsed();
+            if run.max_age_ms.is_some_and(|max| answer.age_ms > max) {
+                return Err(Why::Stale);
+            }
+        }
+        Ok(answer)
+    }
+}
+
+/// Makes the next user of a connection reset its settings.
+fn taint(taken: &mut Taken) {
+    let unknown = schema::Var {
+        name: "?".into(),
+        sql: "".into(),
+    };
+    taken.conn().set_vars(&[unknown]);
+}
+
+fn is_read_only(ran: &Ran) -> bool {
+    let errors = frames(&ran.body).into_iter().filter(|f| f.tag == b'E');
+    errors
+        .into_iter()
+        .any(|f| f.body().windows(READ_ONLY.len()).any(|w| w == READ_ONLY))
+}
+
+/// Whether a batch may commit the transaction that it runs in.
+fn ends_transaction(run: &Run) -> bool {
+    let commits = |sql: &str| {
+        let sql = schema::normalize(sql);
+        ["commit", "end"].iter().any(|w| {
+            sql.starts_with(w) || sql.contains(&format!("; {w}")) || sql.contains(&format!(";{w}"))
+        })
+    };
+    commits(&run.batch.sql) || run.batch.prepares.iter().any(|p| commits(&p.sql))
+}
+
+pub(super) fn done(run: &Run, ran: Ran, pos: Pos, lease: u64) -> Answer {
+    Answer {
+        outcome: Outcome::Done,
+        why: Why::None,
+        retry_ms: 0,
+        body: ByteBuf::from(ran.body.to_vec()),
+        status: ran.status,
+        lease,
+        pos,
+        ..refusal(run.id, Why::None, 0)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/internal.rs
@@ -0,0 +1,180 @@
+//! What a daemon answers to other daemons and to operators.
+
+use std::rc::Rc;
+
+use base::{Event, emit};
+use peer::{Call, Handler, Served, decode, encode};
+use schema::{Cancel, CancelRun, Done, Fetch, GroupAsk, GroupStat, GroupView, Stats, Verdict};
+use serde::Serialize;
+
+use crate::entry::key_of;
+use crate::state::Daemon;
+
+/// Time for one call that passes a cancel on, in ms.
+const CANCEL_MS: u64 = 500;
+
+/// Makes the handler of internal calls.
+pub fn handler(daemon: &Rc<Daemon>) -> Handler {
+    let daemon = daemon.clone();
+    Rc::new(move |call| {
+        let daemon = daemon.clone();
+        Box::pin(async move { daemon.handle(call).await })
+    })
+}
+
+fn ok(message: &impl Serialize) -> Served {
+    (200, encode(message))
+}
+
+fn refused(code: u16, text: &str) -> Served {
+    (code, text.as_bytes().to_vec())
+}
+
+impl Daemon {
+    async fn handle(self: &Rc<Self>, call: Call) -> Served {
+        if &*call.path == "/ready" {
+            return if self.is_ready() {
+                refused(200, "ready\n")
+            } else {
+                refused(503, "not ready\n")
+            };
+        }
+        if !call.trusted {
+            emit(
+                Event::PeerRefused,
+                &[("path", &call.path), ("why", &"wrong secret")],
+            );
+            return refused(401, "wrong secret");
+        }
+        let answer = self.answer(&call).await;
+        answer.unwrap_or_else(|| {
+            emit(
+                Event::PeerRefused,
+                &[("path", &call.path), ("why", &"malformed")],
+            );
+            refused(400, "malformed")
+        })
+    }
+
+    /// Answers a trusted call; `None` when it is malformed.
+    async fn answer(self: &Rc<Self>, call: &Call) -> Option<Served> {
+        let body = &call.body;
+        Some(match &*call.path {
+            "/v1/run" => ok(&self.run_batch(decode(body)?, call.link).await),
+            "/v1/group" => {
+                let ask: GroupAsk = decode(body)?;
+                let none = GroupView {
+                    term: 0,
+                    leader: "".into(),
+                    pos: schema::Pos::ZERO,
+                    verified: false,
+                    reports: Vec::new(),
+                };
+                ok(&self.view_group(&ask.group).unwrap_or(none))
+            }
+            "/v1/push" => ok(&self.take_push(decode(body)?).await),
+            "/v1/digest" => ok(&self.answer_digest(&decode(body)?)),
+            "/v1/fetch" => ok(&self.answer_fetch(&decode::<Fetch>(body)?)),
+            "/v1/patch" => ok(&self.submit(&decode(body)?).await),
+            "/v1/pause" => ok(&self.pause(&decode(body)?).await),
+            "/v1/cancel" => {
+                self.cancel(&decode(body)?).await;
+                ok(&Done {
+                    ok: true,
+                    text: "".into(),
+                })
+            }
+            "/v1/cancel-run" => {
+                let ask: CancelRun = decode(body)?;
+                self.cancels.cancel(ask.id).await;
+                ok(&Done {
+                    ok: true,
+                    text: "".into(),
+                })
+            }
+            "/v1/stats" => ok(&self.told_stats()),
+            _ => refused(404, "no such call"),
+        })
+    }
+
+    fn told_stats(&self) -> Stats {
+        let groups = self.groups.borrow();
+        let group = |g: &Rc<crate::cluster::GroupState>| {
+            let route = g.route.borrow();
+            GroupStat {
+                group: g.name.clone(),
+                term: route.term,
+                leader: route.leader.clone(),
+                reports: g.told_reports(),
+            }
+        };
+        let mut list: Vec<GroupStat> = groups.values().map(group).collect();
+        list.sort_by(|a, b| a.group.cmp(&b.group));
+        Stats {
+            name: self.roster.me.clone(),
+            data_center: self.roster.data_center.clone(),
+            leaving: self.roster.stopping.get(),
+            callers: self.sessions.open(),
+            versions: self.holdings.versions(),
+            windows: self.stats.windows(),
+            changes: self.stats.changes(),
+            groups: list,
+        }
+    }
+
+    /// Cancels the running request of a session, here or on the daemon that its key names.
+    pub async fn cancel(self: &Rc<Self>, ask: &Cancel) {
+        if ask.pid == key_of(&self.roster.me) {
+            if let Some((id, home)) = self.sessions.current(ask.secret) {
+                self.cancel_run(id, &home).await;
+            }
+            return;
+        }
+        let names = self.roster.daemons(None);
+        let Some(name) = names.iter().find(|n| key_of(n) == ask.pid) else {
+            return;
+        };
+        if let Some(addr) = self.roster.daemon(name) {
+            let _: Result<Done, _> = self.peers.call(addr, "/v1/cancel", ask, CANCEL_MS).await;
+        }
+    }
+
+    /// Cancels a running batch at its home; with no home named, everywhere it can be.
+    pub async fn cancel_run(self: &Rc<Self>, id: u64, home: &str) {
+        if home.is_empty() || *home == *self.roster.me {
+            self.cancels.cancel(id).await;
+        }
+        if *home != *self.roster.me {
+            let ask = CancelRun {
+                id,
+                group: "".into(),
+                member: "".into(),
+            };
+            let names = if home.is_empty() {
+                Vec::new()
+            } else {
+                vec![home.into()]
+            };
+            for name in names {
+                let name: Box<str> = name;
+                if let Some(addr) = self.roster.daemon(&name) {
+                    let _: Result<Done, _> = self
+                        .peers
+                        .call(addr, "/v1/cancel-run", &ask, CANCEL_MS)
+                        .await;
+                }
+            }
+        }
+    }
+}
+
+/// Exit code of a command that submitted a patch.
+pub const fn exit_code(verdict: Verdict) -> i32 {
+    match verdict {
+        Verdict::Accepted => 0,
+        Verdict::Conflict => 3,
+        Verdict::Invalid => 4,
+        Verdict::Unavailable => 5,
+        Verdict::Unknown => 6,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/spread.rs
@@ -0,0 +1,176 @@
+//! The tree push and the exchange with random peers.
+
+use std::rc::Rc;
+
+use fleet::{Offer, branches};
+use schema::{Diff, Digest, Done, Fetch, Item, Items, Push};
+
+use crate::gather::sleep;
+use crate::state::Daemon;
+
+/// Time for one call, in ms.
+const CALL_MS: u64 = 1000;
+/// One exchange in so many goes to another data centre.
+const FAR_ONE_IN: u32 = 4;
+
+impl Daemon {
+    /// Pushes an item to all daemons of this data centre.
+    pub(super) fn push_below(self: &Rc<Self>, item: Item) {
+        let mut below = self.roster.daemons(Some(&self.roster.data_center));
+        below.retain(|n| *n != self.roster.me);
+        self.push_branches(&[item], &below);
+    }
+
+    /// Sends items to the head of each branch; a head that cannot be reached is passed over.
+    fn push_branches(self: &Rc<Self>, items: &[Item], below: &[Box<str>]) {
+        for branch in branches(below) {
+            let (daemon, items) = (self.clone(), items.to_vec());
+            monoio::spawn(async move {
+                for at in 0..branch.len() {
+                    let push = Push {
+                        sender: daemon.roster.me.clone(),
+                        items: items.clone(),
+                        below: branch[at + 1..].to_vec(),
+                    };
+                    let Some(addr) = daemon.roster.daemon(&branch[at]) else {
+                        continue;
+                    };
+                    let sent: Result<Done, _> =
+                        daemon.peers.call(addr, "/v1/push", &push, CALL_MS).await;
+                    if sent.is_ok() {
+                        return;
+                    }
+                }
+            });
+        }
+    }
+
+    /// Takes pushed items and passes them on.
+    pub async fn take_push(self: &Rc<Self>, push: Push) -> Done {
+        self.push_branches(&push.items, &push.below);
+        let mut missing = Vec::new();
+        for item in &push.items {
+            if self.take_item(item, false).await == Offer::NeedsWhole {
+                missing.push(item.name.clone());
+            }
+        }
+        if !missing.is_empty() {
+            let daemon = self.clone();
+            monoio::spawn(async move { daemon.fetch(&push.sender, missing).await });
+        }
+        Done {
+            ok: true,
+            text: "".into(),
+        }
+    }
+
+    /// Fetches whole objects from a daemon.
+    async fn fetch(self: &Rc<Self>, from: &str, names: Vec<Box<str>>) {
+        let Some(addr) = self.roster.daemon(from) else {
+            return;
+        };
+        let items: Result<Items, _> = self
+            .peers
+            .call(addr, "/v1/fetch", &Fetch { names }, CALL_MS)
+            .await;
+        for item in items.map(|i| i.items).unwrap_or_default() {
+            self.take_item(&item, false).await;
+        }
+    }
+
+    /// Whole objects for a daemon that asks.
+    pub fn answer_fetch(&self, fetch: &Fetch) -> Items {
+        Items {
+            items: fetch
+                .names
+                .iter()
+                .filter_map(|n| self.holdings.item(n, None))
+                .collect(),
+        }
+    }
+
+    /// Answers a peer's digest.
+    pub fn answer_digest(&self, digest: &Digest) -> Diff {
+        if digest.versions.is_empty() {
+            let same = digest.hash == self.holdings.digest(false).hash;
+            return Diff {
+                same,
+                items: Vec::new(),
+                wanted: Vec::new(),
+            };
+        }
+        let (items, wanted) = self.holdings.compare(&digest.versions);
+        Diff {
+            same: false,
+            items,
+            wanted,
+        }
+    }
+
+    /// One exchange with one peer; both sides are level afterwards.
+    async fn exchange(self: &Rc<Self>, peer: &str) -> Option<()> {
+        let addr = self.roster.daemon(peer)?;
+        let short = self.holdings.digest(false);
+        let diff: Diff = self
+            .peers
+            .call(addr, "/v1/digest", &short, CALL_MS)
+            .await
+            .ok()?;
+        if diff.same {
+            return Some(());
+        }
+        let mut whole = self.holdings.digest(true);
+        if whole.versions.is_empty() {
+            // A daemon that holds nothing still has to be told apart from a short digest.
+            whole.versions.push(schema::Known {
+                name: "".into(),
+                version: 0,
+            });
+        }
+        let diff: Diff = self
+            .peers
+            .call(addr, "/v1/digest", &whole, CALL_MS)
+            .await
+            .ok()?;
+        for item in &diff.items {
+            self.take_item(item, false).await;
+        }
+        let items: Vec<Item> = diff
+            .wanted
+            .iter()
+            .filter_map(|n| self.holdings.item(n, None))
+            .collect();
+        if !items.is_empty() {
+            let push = Push {
+                sender: self.roster.me.clone(),
+                items,
+                below: Vec::new(),
+            };
+            let _: Result<Done, _> = self.peers.call(addr, "/v1/push", &push, CALL_MS).await;
+        }
+        Some(())
+    }
+}
+
+/// Exchanges versions with a random peer, again and again.
+pub(super) async fn gossip(daemon: Rc<Daemon>) {
+    loop {
+        let far = fastrand::u32(..FAR_ONE_IN) == 0;
+        let center = if far {
+            None
+        } else {
+            Some(&*daemon.roster.data_center)
+        };
+        let mut names = daemon.roster.daemons(center);
+        names.retain(|n| *n != daemon.roster.me);
+        if let Some(peer) = fastrand::choice(&names) {
+            let _ = daemon.exchange(peer).await;
+        }
+        let period = if daemon.is_ready() {
+            daemon.settings.timing.gossip_ms
+        } else {
+            50
+        };
+        sleep(period / 2 + fastrand::u64(..=period)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/watch.rs
@@ -0,0 +1,151 @@
+//! The relay's watch on the platform, and what follows from new objects.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use base::{Event, Ms, emit};
+use fleet::{Offer, ROSTER_ITEM, delta};
+use schema::{Item, Vm};
+
+use crate::gather::{signalled, sleep};
+use crate::state::Daemon;
+
+/// Daemons of a data centre that watch the platform.
+const RELAYS: usize = 2;
+/// Kind under which institutions are stored.
+pub const KIND: &str = "institutions";
+/// Longest wait of one watch, in ms.
+const WATCH_MS: u64 = 5000;
+/// Time for one read of the list of VMs, in ms.
+const LIST_MS: u64 = 2000;
+/// Pause after a failed call, in ms.
+const RETRY_MS: u64 = 200;
+
+/// Starts all tasks of the relay.
+pub fn run(daemon: &Rc<Daemon>) {
+    monoio::spawn(apply(daemon.clone()));
+    monoio::spawn(watch_objects(daemon.clone()));
+    monoio::spawn(watch_vms(daemon.clone()));
+    monoio::spawn(super::spread::gossip(daemon.clone()));
+}
+
+/// Whether this daemon has to ask the platform itself.
+fn asks(daemon: &Daemon) -> bool {
+    daemon.roster.is_relay(RELAYS) || !daemon.is_ready()
+}
+
+/// Puts new objects in force.
+async fn apply(daemon: Rc<Daemon>) {
+    loop {
+        let seen = daemon.holdings.changed.count();
+        if let Some(held) = daemon.holdings.get(ROSTER_ITEM)
+            && let Ok(vms) = serde_json::from_value::<BTreeMap<Box<str>, Vm>>(held.value.clone())
+        {
+            daemon.roster.set(vms);
+        }
+        daemon.rebuild_groups();
+        daemon.hand_over_leaving();
+        // Groups learn their primary by and by, so the look for leaving ones is repeated.
+        signalled(
+            &daemon.holdings.changed,
+            seen,
+            daemon.settings.timing.list_ms,
+        )
+        .await;
+    }
+}
+
+async fn watch_objects(daemon: Rc<Daemon>) {
+    let mut after = 0;
+    loop {
+        if !asks(&daemon) {
+            sleep(daemon.settings.timing.list_ms).await;
+            continue;
+        }
+        let Ok(watched) = daemon
+            .store
+            .watch(KIND, after, if after == 0 { 0 } else { WATCH_MS })
+            .await
+        else {
+            sleep(RETRY_MS).await;
+            continue;
+        };
+        after = watched.revision;
+        for change in watched.changes {
+            let version = change.value["version"].as_u64().unwrap_or(0);
+            let text = change.value.to_string().into();
+            let item = Item {
+                name: change.name,
+                version,
+                from: 0,
+                text,
+            };
+            daemon.take_item(&item, true).await;
+        }
+    }
+}
+
+/// Reads the list of VMs, and makes a new version of it when it differs from the one held.
+async fn watch_vms(daemon: Rc<Daemon>) {
+    loop {
+        if asks(&daemon)
+            && let Ok(vms) = daemon.store.vms(LIST_MS).await
+        {
+            let value = serde_json::to_value(&vms).expect("the list is plain data");
+            let held = daemon.holdings.get(ROSTER_ITEM);
+            if held.as_ref().is_none_or(|h| h.value != value) {
+                // The platform gives the list no version, so the relay's wall clock does; a list
+                // that is wrong for a while harms nothing.
+                let version = held.as_ref().map_or(0, |h| h.version + 1).max(Ms::unix());
+                let item = Item {
+                    name: ROSTER_ITEM.into(),
+                    version,
+                    from: 0,
+                    text: value.to_string().into(),
+                };
+                daemon.take_item(&item, true).await;
+            }
+        }
+        sleep(daemon.settings.timing.list_ms).await;
+    }
+}
+
+impl Daemon {
+    /// Takes an item if it is newer, and pushes it to the data centre if this daemon relays.
+    pub async fn take_item(self: &Rc<Self>, item: &Item, push: bool) -> Offer {
+        let old = self.holdings.get(&item.name);
+        let offer = self.holdings.offer(item);
+        match &offer {
+            Offer::Taken => {
+                emit(
+                    Event::ConfigInForce,
+                    &[("name", &item.name), ("version", &item.version)],
+                );
+                if push && self.roster.is_relay(RELAYS) {
+                    let new = self.holdings.get(&item.name);
+                    let change = old.zip(new).map(|(old, new)| Item {
+                        from: old.version,
+                        text: delta(&old.value, &new.value),
+                        ..item.clone()
+                    });
+                    let small = change.filter(|c| c.text.len() < item.text.len());
+                    self.push_below(small.unwrap_or_else(|| item.clone()));
+                }
+            }
+            Offer::Older => emit(
+                Event::ConfigOlder,
+                &[("name", &item.name), ("version", &item.version)],
+            ),
+            Offer::Invalid(why) => emit(
+                Event::ConfigInvalid,
+                &[
+                    ("name", &item.name),
+                    ("version", &item.version),
+                    ("why", why),
+                ],
+            ),
+            Offer::Same | Offer::NeedsWhole => {}
+        }
+        offer
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/warden/examine.rs
@@ -0,0 +1,201 @@
+//! Checks the evidence when a member has lost its primary.
+
+use std::rc::Rc;
+
+use base::{Event, Ms, emit};
+use fleet::ranked;
+use group::{MemberReport, Seen, Silence, Verdict, judge};
+
+use crate::cluster::{GroupState, MemberState};
+use crate::gather::{gather, sleep};
+use crate::state::Daemon;
+
+/// Time for one probe of all members, in ms.
+const PROBE_MS: u64 = 120;
+/// Lead that each warden leaves to those ranked before it, in ms.
+const RANK_STEP_MS: u64 = 100;
+/// Pause after an examination that changed nothing, in ms.
+const REST_MS: u64 = 30;
+
+/// Begins to examine a group, unless that is going on already.
+pub fn suspect(daemon: &Rc<Daemon>, group: &Rc<GroupState>, member: &Rc<MemberState>) {
+    if group.changing.replace(true) {
+        return;
+    }
+    let (daemon, group, member) = (daemon.clone(), group.clone(), member.clone());
+    monoio::spawn(async move {
+        daemon.examine(&group, &member).await;
+        for member in &group.members {
+            member.control.close();
+        }
+        group.changing.set(false);
+    });
+}
+
+impl Daemon {
+    async fn examine(self: &Rc<Self>, group: &Rc<GroupState>, member: &Rc<MemberState>) {
+        let silence = Silence {
+            refused_ms: self.settings.timing.refused_ms,
+            silent_ms: self.settings.timing.suspect_ms,
+            cut_ms: self.settings.timing.suspect_ms * 2,
+        };
+        let lost = member.watch.report();
+        let seen = self.probe_all(group).await;
+        if self.follow_known(group, member, &seen).await {
+            return;
+        }
+        if judge(&seen, silence) == Verdict::Keep("fewer than a majority of members report") {
+            emit(
+                Event::PrimaryKept,
+                &[
+                    ("group", &group.name),
+                    ("why", &"fewer than a majority of members report"),
+                ],
+            );
+            sleep(RANK_STEP_MS).await;
+            return;
+        }
+        let Verdict::Change(why) = judge(&seen, silence) else {
+            sleep(REST_MS).await;
+            return;
+        };
+        sleep(self.rank(group) * RANK_STEP_MS).await;
+        // A warden ranked before may have finished meanwhile, so what was seen counts no more.
+        let begin = Ms::now();
+        let seen = if self.rank(group) == 0 {
+            seen
+        } else {
+            self.probe_all(group).await
+        };
+        if self.follow_known(group, member, &seen).await
+            || judge(&seen, silence) != Verdict::Change(why)
+        {
+            return;
+        }
+        let silent = lost.map_or(0, |r| r.contact_ms + r.asked.elapsed());
+        emit(
+            Event::PrimarySuspected,
+            &[
+                ("group", &group.name),
+                ("why", &why),
+                ("silent_ms", &silent),
+            ],
+        );
+        let evidence = Evidence {
+            why,
+            silent_ms: silent,
+            begin,
+            planned: false,
+        };
+        self.change_primary(group, &seen, evidence).await;
+    }
+
+    /// Probes all members side by side, in the order of the configuration.
+    pub(super) async fn probe_all(self: &Rc<Self>, group: &Rc<GroupState>) -> Vec<Seen> {
+        let calls = group.members.iter().enumerate().map(|(i, member)| {
+            let (daemon, group, member) = (self.clone(), group.clone(), member.clone());
+            async move { (i, daemon.probe(&group, &member, PROBE_MS).await) }
+        });
+        let answers = gather(calls.collect(), PROBE_MS, |_| false).await;
+        let mut seen = vec![Seen::Silent; group.members.len()];
+        for (i, one) in answers {
+            seen[i] = one;
+        }
+        seen
+    }
+
+    /// Makes the member follow the primary of the newest term, if one is seen that it does not
+    /// follow yet; true when there was something to do.
+    async fn follow_known(
+        self: &Rc<Self>,
+        group: &Rc<GroupState>,
+        member: &Rc<MemberState>,
+        seen: &[Seen],
+    ) -> bool {
+        let reports: Vec<(usize, &MemberReport)> = seen
+            .iter()
+            .enumerate()
+            .filter_map(|(i, s)| {
+                if let Seen::Report(r) = s {
+                    Some((i, r))
+                } else {
+                    None
+                }
+            })
+            .collect();
+        let Some((at, leader)) = reports
+            .iter()
+            .filter(|(_, r)| r.leads)
+            .max_by_key(|(_, r)| r.term)
+        else {
+            return false;
+        };
+        if reports.iter().any(|(_, r)| r.term > leader.term) {
+            return false;
+        }
+        let addr = group.members[*at].config.addr.clone();
+        let mine = reports
+            .iter()
+            .find(|(i, _)| Rc::ptr_eq(&group.members[*i], member));
+        let Some((i, own)) = mine else { return false };
+        if i == at || (own.term == leader.term && own.follows == addr) {
+            return false;
+        }
+        self.order_follow(group, member, leader.term, &addr).await
+    }
+
+    /// Tells a member to follow the primary of a term.
+    pub(super) async fn order_follow(
+        self: &Rc<Self>,
+        group: &Rc<GroupState>,
+        member: &Rc<MemberState>,
+        term: u64,
+        addr: &str,
+    ) -> bool {
+        let sql = (self.shape.follow)(term, addr);
+        let within = self.settings.timing.connect_ms;
+        let granted = self
+            .control(group, member, &sql, within)
+            .await
+            .is_ok_and(|r| r.granted);
+        if granted {
+            emit(
+                Event::MemberFollows,
+                &[
+                    ("group", &group.name),
+                    ("member", &member.config.name),
+                    ("term", &term),
+                ],
+            );
+        }
+        granted
+    }
+
+    /// This daemon's rank among those that watch members other than the lost primary.
+    fn rank(&self, group: &GroupState) -> u64 {
+        let lost = group.route.borrow().leader.clone();
+        let homes = usize::try_from(self.settings.limits.homes).unwrap_or(usize::MAX);
+        let others = group.members.iter().filter(|m| m.config.name != lost);
+        let names: std::collections::BTreeSet<Box<str>> = others
+            .flat_map(|m| self.roster.ranking(&m.config).into_iter().take(homes))
+            .collect();
+        let order = ranked(&group.name, names.iter().map(|n| &**n));
+        order
+            .iter()
+            .position(|n| **n == *self.roster.me)
+            .unwrap_or(order.len()) as u64
+    }
+}
+
+/// Why a change is made.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Evidence {
+    /// What was seen of the old primary.
+    pub why: &'static str,
+    /// How long it has been silent, in ms.
+    pub silent_ms: u64,
+    /// When the change began.
+    pub begin: Ms,
+    /// Whether it is a planned hand-over.
+    pub planned: bool,
+}
--- /dev/null
+++ b/crates/daemon/src/warden/mod.rs
@@ -0,0 +1,11 @@
+//! The warden: changes the primary of a group when it has failed or leaves.
+//!
+//! Any daemon may run a change at any time, also twice at once or after a pause: members grant a
+//! term to one proposer only, and refuse what belongs to a lower one. Ranking and delays only make
+//! duels rare.
+
+mod change;
+mod examine;
+mod hand_over;
+
+pub use examine::suspect;
--- /dev/null
+++ b/crates/group/src/evidence.rs
@@ -0,0 +1,74 @@
+//! Whether what is seen of a group suffices for a change of primary.
+
+use crate::MemberReport;
+use crate::rules::majority;
+
+/// What a probe of one member found.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// It reported.
+    Report(MemberReport),
+    /// Nothing listens at its address: the process is gone.
+    Refused,
+    /// It did not answer in time.
+    Silent,
+}
+
+/// How long a primary must have been silent towards its replicas, in ms.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    /// When its address refuses connections.
+    pub refused_ms: u64,
+    /// When it does not answer.
+    pub silent_ms: u64,
+    /// When it answers but its replicas do not hear it.
+    pub cut_ms: u64,
+}
+
+/// What follows from the evidence.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// A majority has lost the primary, for the reason given.
+    Change(&'static str),
+    /// The primary stays, for the reason given.
+    Keep(&'static str),
+}
+
+/// Judges what was seen of all members.
+///
+/// A change needs a majority of members that report, each by itself, that they do not hear a
+/// primary. One member or one data centre alone never suffices.
+pub fn judge(seen: &[Seen], silence: Silence) -> Verdict {
+    let reports = || {
+        seen.iter().filter_map(|s| {
+            if let Seen::Report(r) = s {
+                Some(r)
+            } else {
+                None
+            }
+        })
+    };
+    let Some(term) = reports().map(|r| r.term).max() else {
+        return Verdict::Keep("no member reports");
+    };
+    let need = majority(seen.len());
+    let leads = reports().any(|r| r.leads && r.term == term);
+    let (limit, why) = match (leads, seen.contains(&Seen::Refused)) {
+        (true, _) => (
+            silence.cut_ms,
+            "the primary answers but its replicas do not hear it",
+        ),
+        (false, true) => (silence.refused_ms, "the primary refuses connections"),
+        (false, false) => (silence.silent_ms, "the primary does not answer"),
+    };
+    let lost = reports()
+        .filter(|r| !(r.leads && r.term == term) && r.contact_ms >= limit)
+        .count();
+    if lost >= need {
+        return Verdict::Change(why);
+    }
+    if reports().count() < need {
+        return Verdict::Keep("fewer than a majority of members report");
+    }
+    Verdict::Keep("too few members have lost the primary for long enough")
+}
--- /dev/null
+++ b/crates/group/src/lib.rs
@@ -0,0 +1,14 @@
+//! The decisions about a database group: who may acknowledge a write, who leads, who is promoted.
+//!
+//! Safety rests on terms that a majority of members grant, never on a clock, a lease or the
+//! platform. The functions here are pure; this crate never depends on a network or a runtime.
+
+mod evidence;
+mod member;
+mod rules;
+mod shape;
+
+pub use evidence::{Seen, Silence, Verdict, judge};
+pub use member::MemberReport;
+pub use rules::{confirmed, majority, verified, winner};
+pub use shape::{Shape, sql_functions};
--- /dev/null
+++ b/crates/pg/src/lib.rs
@@ -0,0 +1,18 @@
+//! The PostgreSQL protocol on both sides: callers in front, upstreams behind.
+//!
+//! Messages are read and written with library types; frames that pass through unchanged are not
+//! decoded. This crate never decides where a request goes or whether it may be repeated.
+
+mod batch;
+mod caller;
+mod frame;
+mod io;
+mod login;
+mod upstream;
+
+pub use batch::Collector;
+pub use caller::{Caller, Greeting, error_frame, read_parse};
+pub use frame::{Frame, FrameError, frames, put_frame};
+pub use io::{Io, Link};
+pub use login::Verifier;
+pub use upstream::{Fence, Job, Login, LostError, Ran, Upstream, cancel, row_values};
--- a/crates/schema/src/institution.rs
+++ b/crates/schema/src/institution.rs
@@ -3,6 +3,10 @@
 use crate::check::{address, names};
 use crate::{Fault, Group, Institution, Kind, Objective, Rule, Service};
 
+/// Members of a group at most. With three, what a replica of a term holds is held by its primary
+/// too and so by a majority; reads on replicas rest on that.
+const MEMBERS_MAX: usize = 3;
+
 /// Name of a group across the fleet.
 pub fn qualified(institution: &str, group: &str) -> Box<str> {
     format!("{institution}/{group}").into()
@@ -56,11 +60,12 @@
             self.members.iter().map(|m| &*m.name),
             out,
         );
-        if self.members.is_empty() {
-            out.push(Fault::new(
-                format!("{at}.members"),
-                "expected one member at least",
-            ));
+        if !(1..=MEMBERS_MAX).contains(&self.members.len()) {
+            let text = format!(
+                "holds {}, expected 1 to {MEMBERS_MAX} members",
+                self.members.len()
+            );
+            out.push(Fault::new(format!("{at}.members"), text));
         }
         for (i, member) in self.members.iter().enumerate() {
             address(&format!("{at}.members[{i}].addr"), &member.addr, out);
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -9,6 +9,7 @@
 mod institution;
 mod load;
 mod pos;
+mod window;
 
 pub use answer::{Reply, reply};
 pub use check::Fault;
--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -99,15 +99,17 @@
         }
     }
 
-    /// Waits until the log reaches a position, contact to the primary is lost, or time runs out.
+    /// Waits until the log reaches a position, the role changes, contact is lost, or time runs out.
     pub fn wait(&self, pos: (u64, u64), limit: Duration, contact: u64) -> Status {
         let until = Instant::now() + limit;
         let mut state = self.lock();
+        let begin = (state.log.term, state.leader);
         loop {
             let status = self.status(&state, false);
             let now = Instant::now();
+            let moved = (status.term, status.leader) != begin;
             let lost = !state.leader && status.contact_ms >= contact;
-            if (status.log_term, status.log_len) >= pos || lost || now >= until {
+            if (status.log_term, status.log_len) >= pos || moved || lost || now >= until {
                 return status;
             }
             let step = if state.leader {
--- a/crates/standin/src/sql.rs
+++ b/crates/standin/src/sql.rs
@@ -130,6 +130,7 @@
             );
             done("SET")
         }
+        "deallocate" => done("DEALLOCATE ALL"),
         "reset" | "discard" => {
             tx.vars.clear();
             done("RESET")
