--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -4,7 +4,7 @@
 
 use base::Metric;
 use peer::{CallError, Conn};
-use schema::{Answer, Member, Outcome, Run, Why};
+use schema::{Answer, Member, Run, Why};
 
 use crate::entry::hold::Hold;
 use crate::home::refusal;
@@ -19,8 +19,6 @@
     pub answer: Answer,
     /// Set when the batch left a transaction open.
     pub hold: Option<Hold>,
-    /// Whether the home could not be reached at all.
-    pub unreached: bool,
 }
 
 impl Daemon {
@@ -49,11 +47,7 @@
         if *home == *self.roster.me {
             let answer = self.run_batch(run, 0).await;
             let hold = (answer.lease != 0).then(|| Hold::here(self, answer.lease));
-            return Tried {
-                answer,
-                hold,
-                unreached: false,
-            };
+            return Tried { answer, hold };
         }
         self.stats.count(Metric::Hops);
         let id = run.id;
@@ -61,7 +55,6 @@
             return Tried {
                 answer: refusal(id, Why::NoHome, 0),
                 hold: None,
-                unreached: true,
             };
         };
         let mut conn = match self.peers.take(addr).await {
@@ -71,7 +64,6 @@
                 return Tried {
                     answer: refusal(id, Why::NoHome, 0),
                     hold: None,
-                    unreached: true,
                 };
             }
         };
@@ -81,25 +73,15 @@
                 Tried {
                     answer,
                     hold: Some(hold),
-                    unreached: false,
                 }
             }
             Ok(answer) => {
                 self.peers.put(conn);
-                Tried {
-                    answer,
-                    hold: None,
-                    unreached: false,
-                }
+                Tried { answer, hold: None }
             }
             Err(answer) => {
                 self.roster.shun(home);
-                let unreached = answer.outcome == Outcome::NotRun;
-                Tried {
-                    answer,
-                    hold: None,
-                    unreached,
-                }
+                Tried { answer, hold: None }
             }
         }
     }
--- a/crates/daemon/src/entry/write.rs
+++ b/crates/daemon/src/entry/write.rs
@@ -46,7 +46,6 @@
                 return Tried {
                     answer: refusal(run.id, last, 0),
                     hold: None,
-                    unreached: false,
                 };
             }
             sleep(SEARCH_STEP_MS).await;
--- a/crates/daemon/src/home/pool.rs
+++ b/crates/daemon/src/home/pool.rs
@@ -113,13 +113,6 @@
         }
     }
 
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        for _ in self.0.idle.take() {
-            self.0.release();
-        }
-    }
-
     /// Forgets that the member refused connections.
     pub fn reopen(&self) {
         self.0.closed_until.set(Ms::default());
--- a/crates/daemon/src/internal.rs
+++ b/crates/daemon/src/internal.rs
@@ -4,7 +4,7 @@
 
 use base::{Event, emit};
 use peer::{Call, Handler, Served, decode, encode};
-use schema::{Cancel, CancelRun, Done, Fetch, GroupAsk, GroupStat, GroupView, Stats, Verdict};
+use schema::{Cancel, CancelRun, Done, Fetch, GroupAsk, GroupStat, GroupView, Stats};
 use serde::Serialize;
 
 use crate::entry::key_of;
@@ -167,14 +167,3 @@
         }
     }
 }
-
-/// Exit code of a command that submitted a patch.
-pub const fn exit_code(verdict: Verdict) -> i32 {
-    match verdict {
-        Verdict::Accepted => 0,
-        Verdict::Conflict => 3,
-        Verdict::Invalid => 4,
-        Verdict::Unavailable => 5,
-        Verdict::Unknown => 6,
-    }
-}
--- /dev/null
+++ b/crates/hollyreach/src/main.rs
@@ -0,0 +1,82 @@
+//! The command line of hollyreach: the daemon and the operator's commands in one binary.
+
+mod args;
+mod config;
+mod operator;
+mod status;
+
+use args::{Command, ConfigCommand, ReportCommand};
+
+/// Exit code when settings are not accepted.
+const EXIT_SETTINGS: i32 = 2;
+/// Exit code when something could not be done.
+const EXIT_FAILED: i32 = 1;
+
+fn main() {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(|out, record| {
+            use std::io::Write;
+            writeln!(out, "{} {}", record.level(), record.args())
+        })
+        .init();
+    std::process::exit(run(args::parse()));
+}
+
+fn run(command: Command) -> i32 {
+    match command {
+        Command::Serve { config } => match schema::load_settings(&config) {
+            Ok(settings) => finish(daemon::serve(settings)),
+            Err(e) => refuse(&e),
+        },
+        Command::Check { file } => match schema::load_settings(&file) {
+            Ok(settings) => {
+                println!(
+                    "{file}: ok, VM {} in data centre {}",
+                    settings.name, settings.data_center
+                );
+                0
+            }
+            Err(e) => refuse(&e),
+        },
+        Command::Password { password } => {
+            let salt: [u8; 16] = std::array::from_fn(|_| fastrand::u8(..));
+            let (salt, hash) = pg::Verifier::salted(&password, &salt, 4096);
+            println!(
+                "{}",
+                serde_json::json!({ "salt": salt, "hash": hash, "rounds": 4096 })
+            );
+            0
+        }
+        Command::Config { command, to } => match command {
+            ConfigCommand::Show { institution } => config::show(&to, &institution),
+            ConfigCommand::Patch {
+                institution,
+                version,
+                id,
+                file,
+            } => config::patch(&to, &institution, version, &id, &file),
+            ConfigCommand::Status => config::status(&to),
+            ConfigCommand::History { institution } => config::history(&to, &institution),
+        },
+        Command::Status { to } => status::status(&to),
+        Command::Report { command, to } => match command {
+            ReportCommand::Burn { html, svg } => status::burn(&to, html.as_deref(), svg.as_deref()),
+        },
+    }
+}
+
+fn refuse(error: &schema::LoadError) -> i32 {
+    eprintln!("{error}");
+    EXIT_SETTINGS
+}
+
+/// Turns a result into an exit code, telling the error.
+fn finish(result: Result<(), String>) -> i32 {
+    match result {
+        Ok(()) => 0,
+        Err(text) => {
+            eprintln!("hollyreach: {text}");
+            EXIT_FAILED
+        }
+    }
+}
--- a/crates/pg/src/caller.rs
+++ b/crates/pg/src/caller.rs
@@ -45,10 +45,18 @@
     context.awaiting_frontend_ssl = false;
     context.awaiting_frontend_startup = false;
     let parse = Parse::decode(&mut BytesMut::from(&*frame.raw), &context).ok()??;
-    let types: Vec<u8> = parse.type_oids.iter().flat_map(|o| o.to_be_bytes()).collect();
+    let types: Vec<u8> = parse
+        .type_oids
+        .iter()
+        .flat_map(|o| o.to_be_bytes())
+        .collect();
     let hash = xxh3_64(&[parse.query.as_bytes(), &types].concat());
     let name = format!("h{hash:016x}").into();
-    let prepare = Prepare { name, sql: parse.query.into(), oids: parse.type_oids };
+    let prepare = Prepare {
+        name,
+        sql: parse.query.into(),
+        oids: parse.type_oids,
+    };
     Some((parse.name.unwrap_or_default().into(), prepare))
 }
 
--- /dev/null
+++ b/xtask/src/cluster/admin.rs
@@ -0,0 +1,93 @@
+//! Orders to the stand-ins: faults, cuts, and what they recorded.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::{Cluster, PLATFORM};
+
+/// Time for one order.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// One HTTP exchange; returns the status and the body.
+fn http(addr: &str, method: &str, path: &str, body: &str) -> Result<(u16, String), String> {
+    let text = |e: std::io::Error| format!("{addr}: {e}");
+    let target = addr.parse().map_err(|e| format!("{addr}: {e}"))?;
+    let mut stream = TcpStream::connect_timeout(&target, LIMIT).map_err(text)?;
+    stream.set_read_timeout(Some(LIMIT)).map_err(text)?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(format!("{head}{body}").as_bytes())
+        .map_err(text)?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(text)?;
+    let (head, body) = answer.split_once("\r\n\r\n").ok_or("no answer")?;
+    let code = head
+        .split(' ')
+        .nth(1)
+        .and_then(|c| c.parse().ok())
+        .ok_or("no status")?;
+    Ok((code, body.to_owned()))
+}
+
+impl Cluster {
+    /// Gives the platform an order and returns its counts of calls.
+    pub fn admin(&self, order: &Value) -> Result<Value, String> {
+        let mut last = String::new();
+        for _ in 0..100 {
+            match http(&self.platform(), "POST", "/admin", &order.to_string()) {
+                Ok((_, body)) => return serde_json::from_str(&body).map_err(|e| e.to_string()),
+                Err(e) => last = e,
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Err(last)
+    }
+
+    /// Whether a daemon takes callers.
+    pub fn is_ready(&self, daemon: &str) -> bool {
+        http(&self.internal_addr(daemon), "GET", "/ready", "").is_ok_and(|(code, _)| code == 200)
+    }
+
+    /// Sets the cuts of what `viewer` reaches of `center`: its requests and their answers.
+    pub fn set_link(
+        &self,
+        viewer: u8,
+        center: u8,
+        requests: bool,
+        answers: bool,
+    ) -> Result<(), String> {
+        let word = |cut: bool| if cut { "cut" } else { "pass" };
+        let order = format!(
+            "{} {} {}\n",
+            self.via(viewer, center),
+            word(requests),
+            word(answers)
+        );
+        let mut stream = TcpStream::connect(self.control()).map_err(|e| e.to_string())?;
+        stream
+            .write_all(order.as_bytes())
+            .map_err(|e| e.to_string())?;
+        let mut answer = [0; 3];
+        stream.read_exact(&mut answer).map_err(|e| e.to_string())
+    }
+
+    /// Cuts a data centre off from the others and from the platform, or heals it.
+    pub fn isolate(&self, center: u8, cut: bool) -> Result<(), String> {
+        for other in super::CENTERS.into_iter().filter(|c| *c != center) {
+            self.set_link(center, other, cut, cut)?;
+            self.set_link(other, center, cut, cut)?;
+        }
+        self.set_link(center, PLATFORM, cut, cut)
+    }
+
+    /// Cuts a data centre off from the platform alone, or heals it.
+    pub fn isolate_platform(&self, center: u8, cut: bool) -> Result<(), String> {
+        self.set_link(center, PLATFORM, cut, cut)
+    }
+}
--- /dev/null
+++ b/xtask/src/cluster/deploy.rs
@@ -0,0 +1,116 @@
+//! The two deployments of the brief, at their sizes of today.
+
+use serde_json::{Value, json};
+
+/// A database group to run.
+#[derive(Clone)]
+pub struct GroupPlan {
+    /// Name of the group; its one service has the same name.
+    pub name: String,
+    /// Table that its service writes to.
+    pub table: String,
+    /// Index of the data centre whose member leads first.
+    pub first: usize,
+    /// Connections that each member accepts.
+    pub connections: u64,
+    /// Statements that each member runs at once.
+    pub slots: u64,
+}
+
+/// An institution to run.
+#[derive(Clone)]
+pub struct Deployment {
+    /// Its name.
+    pub name: String,
+    /// Its groups.
+    pub groups: Vec<GroupPlan>,
+    /// Age of data that its lists accept, in ms.
+    pub max_age_ms: u64,
+    /// Share of requests that read aged lists, in percent.
+    pub list_percent: u32,
+    /// Share of requests that write, in percent.
+    pub write_percent: u32,
+}
+
+fn groups(names: [(&str, &str); 3], connections: u64, slots: u64) -> Vec<GroupPlan> {
+    let plan = |(first, (name, table)): (usize, (&str, &str))| GroupPlan {
+        name: name.to_owned(),
+        table: table.to_owned(),
+        first,
+        connections,
+        slots,
+    };
+    names.into_iter().enumerate().map(plan).collect()
+}
+
+/// Lakeshore Grain Haulers Cooperative: bookings weigh more.
+pub fn lakeshore() -> Deployment {
+    let names = [
+        ("slots", "bookings"),
+        ("manifests", "manifests"),
+        ("queues", "queue"),
+    ];
+    Deployment {
+        name: "lakeshore".to_owned(),
+        groups: groups(names, 16, 2),
+        max_age_ms: 2000,
+        list_percent: 40,
+        write_percent: 30,
+    }
+}
+
+/// Oprawka Studio: catalogue reads dominate.
+pub fn oprawka() -> Deployment {
+    let names = [
+        ("frames", "reservations"),
+        ("orders", "orders"),
+        ("profiles", "profiles"),
+    ];
+    Deployment {
+        name: "oprawka".to_owned(),
+        groups: groups(names, 45, 3),
+        max_age_ms: 5000,
+        list_percent: 70,
+        write_percent: 10,
+    }
+}
+
+/// Password of a test user.
+pub fn password_of(user: &str) -> String {
+    format!("pw-{user}")
+}
+
+impl Deployment {
+    /// Users that log in: desks, and a second one for fairness.
+    pub fn users(&self) -> [String; 2] {
+        [format!("{}-desk", self.name), format!("{}-web", self.name)]
+    }
+
+    /// The institution's object.
+    pub fn institution(&self, members: impl Fn(&GroupPlan) -> Vec<Value>) -> Value {
+        let users: Vec<Value> = self
+            .users()
+            .iter()
+            .map(|name| {
+                let (salt, hash) = pg::Verifier::salted(&password_of(name), name.as_bytes(), 4096);
+                json!({"name": name, "salt": salt, "hash": hash, "rounds": 4096})
+            })
+            .collect();
+        let groups: Vec<Value> = self.groups.iter().map(|g| {
+            json!({"name": g.name, "user": "hollyreach", "database": g.name, "connections": g.connections,
+                "slots": g.slots, "members": members(g)})
+        }).collect();
+        let services: Vec<Value> = self.groups.iter().map(|g| {
+            json!({"name": g.name, "group": g.name, "deadline_ms": 5000, "rules": [
+                {"name": "list", "starts": "select v from catalogue", "kind": "read", "max_age_ms": self.max_age_ms},
+                {"name": "look", "starts": "select", "kind": "read"},
+                {"name": "book", "starts": "insert into", "kind": "write"},
+            ]})
+        }).collect();
+        json!({"name": self.name, "version": 1, "users": users, "groups": groups, "services": services, "objectives": [
+            {"name": "answered", "measure": "answered", "percent": 99.9},
+            {"name": "fast", "measure": "latency", "percent": 99.0, "bound_ms": 100},
+            {"name": "fresh", "measure": "fresh", "percent": 99.9, "bound_ms": self.max_age_ms},
+        ]})
+    }
+}
--- /dev/null
+++ b/xtask/src/cluster/look.rs
@@ -0,0 +1,100 @@
+//! What the fleet and the stand-ins say of themselves.
+
+use std::process::Command;
+
+use serde_json::Value;
+
+use super::{Cluster, target};
+use crate::load::{Caller, Told};
+
+impl Cluster {
+    /// Address of the member that leads the newest term of a group, by the members' own word.
+    pub async fn leader(&self, institution: &str, group: &str) -> Result<String, String> {
+        let mut best: Option<(u64, String)> = None;
+        for member in self.group_members(institution, group) {
+            let Some((term, leads)) = self.member_term(&member.addr).await else {
+                continue;
+            };
+            if leads && best.as_ref().is_none_or(|b| b.0 < term) {
+                best = Some((term, member.addr));
+            }
+        }
+        best.map(|b| b.1)
+            .ok_or_else(|| format!("no member leads {institution}/{group}"))
+    }
+
+    /// Term of a member, and whether it leads.
+    pub async fn member_term(&self, addr: &str) -> Option<(u64, bool)> {
+        let connect = Caller::connect(addr, "look", "look", "");
+        let caller = tokio::time::timeout(std::time::Duration::from_millis(500), connect)
+            .await
+            .ok()?
+            .ok()?;
+        let row = caller.row("SELECT hollyreach_status('')").await?;
+        Some((row.get(1)?.parse().ok()?, row.get(2)? == "t"))
+    }
+
+    /// Sets a fault of a member.
+    pub async fn fault(&self, addr: &str, knob: &str, val: u64) -> Result<(), String> {
+        let caller = Caller::connect(addr, "fault", "fault", "").await?;
+        match caller
+            .simple(&format!("SELECT hollyreach_fault('', '{knob}', {val})"))
+            .await
+        {
+            Told::Answer(_) => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    /// Runs an operator's command and returns its exit code and output.
+    pub fn operate(&self, args: &[&str]) -> Result<(i32, String), String> {
+        let output = Command::new(target().join("release/hollyreach"))
+            .args(args)
+            .output()
+            .map_err(|e| e.to_string())?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        Ok((output.status.code().unwrap_or(-1), text))
+    }
+
+    /// What all daemons report of themselves.
+    pub fn stats(&self) -> Result<Value, String> {
+        let file = self.operator_file()?;
+        let (code, text) = self.operate(&["status", "--config", &file, "--json"])?;
+        if code != 0 {
+            return Err(text);
+        }
+        serde_json::from_str(&text).map_err(|e| e.to_string())
+    }
+
+    /// Share of reads that replicas served, by the daemons' counts.
+    pub fn replica_share(&self) -> Result<f64, String> {
+        let (replica, all) = self
+            .reads()?
+            .into_iter()
+            .fold((0, 0), |(r, a), (place, count)| {
+                (if place == "replica" { r + count } else { r }, a + count)
+            });
+        #[allow(clippy::cast_precision_loss)]
+        Ok(if all == 0 {
+            0.0
+        } else {
+            replica as f64 / all as f64
+        })
+    }
+
+    /// Reads by the place that served them.
+    pub fn reads(&self) -> Result<std::collections::BTreeMap<String, u64>, String> {
+        let stats = self.stats()?;
+        let mut reads = std::collections::BTreeMap::new();
+        for daemon in stats["daemons"].as_array().into_iter().flatten() {
+            for window in daemon["windows"].as_array().into_iter().flatten() {
+                for served in window["reads"].as_array().into_iter().flatten() {
+                    let place = served["place"].as_str().unwrap_or_default().to_owned();
+                    *reads.entry(place).or_default() += served["count"].as_u64().unwrap_or(0);
+                }
+            }
+        }
+        Ok(reads)
+    }
+}
--- /dev/null
+++ b/xtask/src/cluster/mod.rs
@@ -0,0 +1,457 @@
+//! Runs a small fleet with its stand-ins as separate processes on loopback.
+//!
+//! Each data centre has a prefix of its own in 127.0.0.0/8, and sees the others through links
+//! that can be cut, so that partitions are brought about without touching the machine's network.
+
+mod admin;
+mod deploy;
+mod look;
+mod process;
+
+pub use deploy::{Deployment, GroupPlan, lakeshore, oprawka, password_of};
+pub use process::{Process, interrupted};
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::codegen::root;
+use process::Spawner;
+
+/// Data centres of every test fleet.
+pub const CENTERS: [u8; 3] = [1, 2, 3];
+/// Data centre number of the platform.
+const PLATFORM: u8 = 9;
+const CALLER_PORT: u16 = 6432;
+const INTERNAL_PORT: u16 = 7432;
+const MEMBER_PORT: u16 = 5432;
+const PLATFORM_PORT: u16 = 8000;
+const CONTROL_PORT: u16 = 8100;
+/// Secret of test fleets.
+const SECRET: &str = "test-fleet-secret-0123456789";
+/// Time for a fleet to be ready.
+const READY: Duration = Duration::from_secs(30);
+
+/// Sizes and knobs of a test fleet.
+#[derive(Clone)]
+pub struct Plan {
+    /// Daemons in each data centre.
+    pub daemons: u8,
+    /// One-way delay between data centres, µs.
+    pub delay_us: u64,
+    /// Extra lines of every daemon's settings.
+    pub settings: String,
+    /// Whether daemons run at all; without them only the stand-ins do.
+    pub bare: bool,
+    /// Whether members keep their term and log in files, so that they can be restarted.
+    pub durable: bool,
+    /// Work of one statement in a member's slot, µs.
+    pub work_us: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            daemons: 3,
+            delay_us: 1000,
+            settings: String::new(),
+            bare: false,
+            durable: false,
+            work_us: 200,
+        }
+    }
+}
+
+/// One member of a group in a running fleet.
+pub struct MemberRef {
+    /// Name of its VM.
+    pub name: String,
+    /// Address in its own data centre.
+    pub addr: String,
+    /// Its data centre.
+    pub center: u8,
+}
+
+/// A running fleet. Dropping it ends all of its processes.
+pub struct Cluster {
+    /// Plan that it was made from.
+    pub plan: Plan,
+    /// What is deployed.
+    pub deployments: Vec<Deployment>,
+    run: u8,
+    folder: PathBuf,
+    spawner: Spawner,
+    processes: Vec<(String, Process)>,
+    /// VMs as the platform lists them.
+    vms: Vec<Value>,
+}
+
+impl Cluster {
+    /// Starts the stand-ins and the daemons, and waits until every daemon is ready.
+    pub fn start(plan: Plan, deployments: Vec<Deployment>) -> Result<Cluster, String> {
+        let run = free_run()?;
+        let folder = std::env::temp_dir().join(format!("hollyreach-{}-{run}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let spawner = Spawner::build(&folder)?;
+        let mut cluster = Cluster {
+            plan,
+            deployments,
+            run,
+            folder,
+            spawner,
+            processes: Vec::new(),
+            vms: Vec::new(),
+        };
+        cluster.start_platform()?;
+        cluster.start_links()?;
+        cluster.start_members()?;
+        if cluster.plan.bare {
+            return Ok(cluster);
+        }
+        for center in CENTERS {
+            for i in 1..=cluster.plan.daemons {
+                cluster.start_daemon(center, i)?;
+            }
+        }
+        cluster.publish_vms()?;
+        cluster.publish_institutions()?;
+        cluster.wait_ready(READY)?;
+        Ok(cluster)
+    }
+
+    fn ip(&self, center: u8, host: u8) -> String {
+        format!("127.{}.{center}.{host}", self.run)
+    }
+
+    /// Address of the platform in its own place.
+    pub fn platform(&self) -> String {
+        format!("{}:{PLATFORM_PORT}", self.ip(PLATFORM, 1))
+    }
+
+    fn control(&self) -> String {
+        format!("{}:{CONTROL_PORT}", self.ip(PLATFORM, 2))
+    }
+
+    /// Prefix under which `viewer` reaches the addresses of `center`.
+    fn via(&self, viewer: u8, center: u8) -> String {
+        format!("127.{}.{}.", self.run, 100 + 10 * viewer + center)
+    }
+
+    fn start_platform(&mut self) -> Result<(), String> {
+        let args = ["platform", "--listen", &self.platform()].map(str::to_owned);
+        let process = self.spawner.standin("platform", &args)?;
+        self.processes.push(("platform".to_owned(), process));
+        Ok(())
+    }
+
+    fn start_links(&mut self) -> Result<(), String> {
+        let mut args = vec!["links".to_owned(), "--control".to_owned(), self.control()];
+        args.extend(["--delay-us".to_owned(), self.plan.delay_us.to_string()]);
+        let mut targets: Vec<(u8, u8, u16)> = vec![(PLATFORM, 1, PLATFORM_PORT)];
+        for center in CENTERS {
+            targets.extend((1..=self.plan.daemons).map(|i| (center, i, INTERNAL_PORT)));
+        }
+        targets.extend(self.members().iter().map(|m| {
+            let host = m
+                .addr
+                .rsplit('.')
+                .next()
+                .and_then(|r| r.split(':').next())
+                .and_then(|h| h.parse().ok());
+            (m.center, host.expect("a member has a host"), MEMBER_PORT)
+        }));
+        for viewer in CENTERS {
+            for (center, host, port) in targets.iter().filter(|t| t.0 != viewer) {
+                let pair = format!(
+                    "{}{host}:{port}={}:{port}",
+                    self.via(viewer, *center),
+                    self.ip(*center, *host)
+                );
+                args.extend(["--link".to_owned(), pair]);
+            }
+        }
+        let process = self.spawner.standin("links", &args)?;
+        self.processes.push(("links".to_owned(), process));
+        Ok(())
+    }
+
+    /// All members of all groups.
+    pub fn members(&self) -> Vec<MemberRef> {
+        let mut out = Vec::new();
+        let mut host = 100;
+        for deployment in &self.deployments {
+            for group in &deployment.groups {
+                for center in CENTERS {
+                    let name = format!("{}-{}{center}", deployment.name, group.name);
+                    out.push(MemberRef {
+                        name,
+                        addr: format!("{}:{MEMBER_PORT}", self.ip(center, host)),
+                        center,
+                    });
+                }
+                host += 1;
+            }
+        }
+        out
+    }
+
+    /// The members of one group, in the order of data centres.
+    pub fn group_members(&self, institution: &str, group: &str) -> Vec<MemberRef> {
+        let prefix = format!("{institution}-{group}");
+        let all = self.members().into_iter();
+        all.filter(|m| {
+            m.name
+                .strip_prefix(&prefix)
+                .is_some_and(|rest| rest.len() == 1)
+        })
+        .collect()
+    }
+
+    fn start_members(&mut self) -> Result<(), String> {
+        for member in self.members() {
+            self.start_member(&member.name)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a member; one that kept its file goes on from there.
+    pub fn start_member(&mut self, name: &str) -> Result<(), String> {
+        let members = self.members();
+        let member = members
+            .iter()
+            .find(|m| m.name == name)
+            .ok_or("no such member")?;
+        let (deployment, group) = self.group_of(name).ok_or("no such group")?;
+        let first = &self.group_members(&deployment.name, &group.name)[group.first];
+        let mut args = vec![
+            "member".to_owned(),
+            "--listen".to_owned(),
+            member.addr.clone(),
+        ];
+        if first.name == member.name {
+            args.push("--leader".to_owned());
+        } else {
+            args.extend(["--follow".to_owned(), first.addr.clone()]);
+        }
+        for center in CENTERS.into_iter().filter(|c| *c != member.center) {
+            let map = format!(
+                "127.{}.{center}.={}",
+                self.run,
+                self.via(member.center, center)
+            );
+            args.extend(["--map".to_owned(), map]);
+        }
+        if self.plan.durable {
+            let file = self.folder.join(format!("{name}.log"));
+            args.extend(["--data".to_owned(), file.display().to_string()]);
+        }
+        let (limit, slots, work) = (group.connections, group.slots, self.plan.work_us);
+        for (flag, val) in [("--limit", limit), ("--slots", slots), ("--work-us", work)] {
+            args.extend([flag.to_owned(), val.to_string()]);
+        }
+        let process = self.spawner.standin(name, &args)?;
+        self.processes.push((name.to_owned(), process));
+        Ok(())
+    }
+
+    fn group_of(&self, member: &str) -> Option<(&Deployment, &GroupPlan)> {
+        let pairs = self
+            .deployments
+            .iter()
+            .flat_map(|d| d.groups.iter().map(move |g| (d, g)));
+        pairs.into_iter().find(|(d, g)| {
+            member
+                .strip_prefix(&format!("{}-{}", d.name, g.name))
+                .is_some_and(|rest| rest.len() == 1)
+        })
+    }
+
+    /// Name of a daemon.
+    pub fn daemon_name(center: u8, i: u8) -> String {
+        format!("entry-{center}{i}")
+    }
+
+    /// Names of all daemons.
+    pub fn daemons(&self) -> Vec<String> {
+        let each = |c| (1..=self.plan.daemons).map(move |i| Self::daemon_name(c, i));
+        CENTERS.into_iter().flat_map(each).collect()
+    }
+
+    /// Address of a daemon for callers.
+    pub fn caller_addr(&self, daemon: &str) -> String {
+        let digits: Vec<u8> = daemon.bytes().rev().take(2).map(|b| b - b'0').collect();
+        format!("{}:{CALLER_PORT}", self.ip(digits[1], digits[0]))
+    }
+
+    /// Address of a daemon for operators.
+    pub fn internal_addr(&self, daemon: &str) -> String {
+        self.caller_addr(daemon)
+            .replace(&CALLER_PORT.to_string(), &INTERNAL_PORT.to_string())
+    }
+
+    /// Settings file of a daemon.
+    pub fn settings_file(&self, daemon: &str) -> String {
+        self.folder
+            .join(format!("{daemon}.yaml"))
+            .display()
+            .to_string()
+    }
+
+    /// Settings file for operators, who reach every data centre directly.
+    pub fn operator_file(&self) -> Result<String, String> {
+        let first = Self::daemon_name(1, 1);
+        let text =
+            std::fs::read_to_string(self.settings_file(&first)).map_err(|e| e.to_string())?;
+        let (head, _) = text
+            .split_once("address_map:")
+            .ok_or("the settings have a map")?;
+        let file = self.folder.join("operator.yaml");
+        std::fs::write(&file, head).map_err(|e| e.to_string())?;
+        Ok(file.display().to_string())
+    }
+
+    /// Starts a daemon.
+    pub fn start_daemon(&mut self, center: u8, i: u8) -> Result<(), String> {
+        let name = Self::daemon_name(center, i);
+        let mut text = format!(
+            "name: {name}\ndata_center: dc{center}\nlisten: {}\ninternal: {}\nplatform: {}1:{PLATFORM_PORT}\nsecret: {SECRET}\n",
+            self.caller_addr(&name),
+            self.internal_addr(&name),
+            self.via(center, PLATFORM),
+        );
+        text.push_str("seeds:\n");
+        for other in self.daemons().iter().filter(|n| **n != name).take(3) {
+            let dc = &other[other.len() - 2..other.len() - 1];
+            text.push_str(&format!(
+                "  - {{name: {other}, data_center: dc{dc}, addr: \"{}\"}}\n",
+                self.internal_addr(other)
+            ));
+        }
+        text.push_str(&self.plan.settings);
+        text.push_str("address_map:\n");
+        for other in CENTERS.into_iter().filter(|c| *c != center) {
+            text.push_str(&format!(
+                "  - {{from: 127.{}.{other}., to: {}}}\n",
+                self.run,
+                self.via(center, other)
+            ));
+        }
+        let file = self.settings_file(&name);
+        std::fs::write(&file, text).map_err(|e| e.to_string())?;
+        let process = self
+            .spawner
+            .daemon(&name, &["serve".to_owned(), "--config".to_owned(), file])?;
+        self.processes.push((name, process));
+        Ok(())
+    }
+
+    fn publish_vms(&mut self) -> Result<(), String> {
+        let vm = |name: &str, center: u8, role: &str, addr: &str| json!({"name": name, "data_center": format!("dc{center}"), "role": role, "addr": addr, "state": "live"});
+        let mut vms = Vec::new();
+        for name in self.daemons() {
+            let center = name.as_bytes()[name.len() - 2] - b'0';
+            vms.push(vm(&name, center, "entry", &self.internal_addr(&name)));
+        }
+        vms.extend(
+            self.members()
+                .iter()
+                .map(|m| vm(&m.name, m.center, "upstream", &m.addr)),
+        );
+        self.vms = vms;
+        self.admin(&json!({"vms": self.vms}))?;
+        Ok(())
+    }
+
+    /// Changes the state of a VM on the platform's list.
+    pub fn list_as(&mut self, name: &str, state: &str) -> Result<(), String> {
+        for vm in &mut self.vms {
+            if vm["name"] == name {
+                vm["state"] = json!(state);
+            }
+        }
+        self.admin(&json!({"vms": self.vms}))?;
+        Ok(())
+    }
+
+    fn publish_institutions(&self) -> Result<(), String> {
+        for deployment in &self.deployments {
+            let members = |group: &GroupPlan| -> Vec<Value> {
+                let list = self.group_members(&deployment.name, &group.name);
+                list.iter().map(|m| json!({"name": m.name, "data_center": format!("dc{}", m.center), "addr": m.addr})).collect()
+            };
+            let value = deployment.institution(members);
+            self.admin(&json!({"restore": format!("institutions/{}", deployment.name), "version": 1, "value": value}))?;
+        }
+        Ok(())
+    }
+
+    fn wait_ready(&self, limit: Duration) -> Result<(), String> {
+        let until = Instant::now() + limit;
+        for name in self.daemons() {
+            while !self.is_ready(&name) {
+                if Instant::now() > until {
+                    return Err(format!(
+                        "{name} is not ready; see {}",
+                        self.folder.display()
+                    ));
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        Ok(())
+    }
+
+    /// The process with a name.
+    pub fn process(&mut self, name: &str) -> Option<&mut Process> {
+        self.processes
+            .iter_mut()
+            .rev()
+            .find(|(n, _)| n == name)
+            .map(|(_, p)| p)
+    }
+
+    /// Kills a process by its name.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(process) = self.process(name) {
+            process.kill();
+        }
+    }
+
+    /// Folder with settings and logs of this run.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder
+    }
+
+    /// Keeps the folder with the logs.
+    pub fn keep_logs(&mut self) {
+        self.spawner.keep = true;
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for (_, process) in &mut self.processes {
+            process.kill();
+        }
+        if !self.spawner.keep {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Second byte of this run's addresses, so that several runs can go on side by side.
+fn free_run() -> Result<u8, String> {
+    let start = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
+    (0..200_u8)
+        .map(|i| 20 + (start - 20 + i) % 200)
+        .find(|run| {
+            std::net::TcpListener::bind(format!("127.{run}.{PLATFORM}.1:{PLATFORM_PORT}")).is_ok()
+        })
+        .ok_or_else(|| "no addresses are free".to_owned())
+}
+
+/// Path of the crate folder of the binaries' build.
+fn target() -> PathBuf {
+    std::env::var_os("CARGO_TARGET_DIR").map_or_else(|| root().join("target"), PathBuf::from)
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,200 @@
+//! The demo: both deployments under load, with a primary of each killed midway.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::cluster::{Cluster, Deployment, Plan, interrupted, lakeshore, oprawka};
+use crate::load::{Audit, Load, Mix, audit, run};
+
+/// Options of the demo.
+pub struct Options {
+    pub seed: u64,
+    pub seconds: u64,
+    pub json: bool,
+}
+
+/// Callers of each service.
+const CALLERS: usize = 8;
+
+/// Load of one service, with where its records are.
+struct Part {
+    deployment: Deployment,
+    group: usize,
+    load: Rc<Load>,
+}
+
+/// Runs the demo; the error says what did not hold.
+pub fn demo(options: &Options) -> Result<(), String> {
+    let mut cluster = Cluster::start(Plan::default(), vec![lakeshore(), oprawka()])?;
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
+    let line = local.block_on(&runtime, drive(&mut cluster, options))?;
+    let bad = ["lost", "doubled", "stale", "crossed", "false_refusals"]
+        .iter()
+        .any(|k| line[*k] != json!(0));
+    if options.json {
+        println!("{line}");
+    }
+    if bad {
+        Err(format!("a promise was broken: {line}"))
+    } else {
+        Ok(())
+    }
+}
+
+async fn drive(cluster: &mut Cluster, options: &Options) -> Result<Value, String> {
+    let parts = parts(cluster);
+    let mut tasks = Vec::new();
+    for (i, part) in parts.iter().enumerate() {
+        let mix = mix(cluster, part, options.seed.wrapping_add(i as u64));
+        tasks.push(tokio::task::spawn_local(run(part.load.clone(), mix)));
+    }
+    let half = Duration::from_secs(options.seconds) / 2;
+    pause(half).await;
+    // The first group of each institution loses its primary.
+    let killed = Instant::now();
+    for part in parts.iter().filter(|p| p.group == 0) {
+        let group = &part.deployment.groups[0];
+        let primary = &cluster.group_members(&part.deployment.name, &group.name)[group.first];
+        cluster.kill(&primary.name);
+    }
+    pause(half).await;
+    parts.iter().for_each(|p| p.load.end());
+    for task in tasks {
+        let _ = task.await;
+    }
+    report(cluster, &parts, killed, options).await
+}
+
+async fn pause(span: Duration) {
+    let until = Instant::now() + span;
+    while Instant::now() < until && !interrupted() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn parts(cluster: &Cluster) -> Vec<Part> {
+    let each = |d: &Deployment| {
+        let d = d.clone();
+        (0..d.groups.len()).map(move |group| Part {
+            deployment: d.clone(),
+            group,
+            load: Load::new(),
+        })
+    };
+    cluster.deployments.iter().flat_map(each).collect()
+}
+
+fn mix(cluster: &Cluster, part: &Part, seed: u64) -> Mix {
+    let group = &part.deployment.groups[part.group];
+    Mix {
+        service: group.name.clone(),
+        user: part.deployment.users()[0].clone(),
+        table: group.table.clone(),
+        addrs: cluster
+            .daemons()
+            .iter()
+            .map(|d| cluster.caller_addr(d))
+            .collect(),
+        callers: CALLERS,
+        pause: Duration::from_millis(10),
+        writes: part.deployment.write_percent,
+        lists: part.deployment.list_percent,
+        roam: 40,
+        token: seed % 2 == 0,
+        seed,
+    }
+}
+
+/// Reads the records of the member that leads now.
+async fn records(cluster: &Cluster, part: &Part) -> Result<Audit, String> {
+    let group = &part.deployment.groups[part.group];
+    let leader = cluster.leader(&part.deployment.name, &group.name).await?;
+    audit(&leader, &group.table, &part.load.records.borrow()).await
+}
+
+async fn report(
+    cluster: &Cluster,
+    parts: &[Part],
+    killed: Instant,
+    options: &Options,
+) -> Result<Value, String> {
+    let share = cluster.replica_share()?;
+    let mut total = Audit::default();
+    let mut gap = Duration::ZERO;
+    let mut latency = hdrhistogram::Histogram::<u64>::new(3).map_err(|e| e.to_string())?;
+    println!(
+        "{:<22}{:>9}{:>9}{:>8}{:>8}{:>6}{:>8}{:>7}{:>8}{:>9}",
+        "service",
+        "requests",
+        "answered",
+        "not run",
+        "unknown",
+        "lost",
+        "doubled",
+        "stale",
+        "crossed",
+        "p99 ms"
+    );
+    for part in parts {
+        let found = records(cluster, part).await?;
+        let name = format!(
+            "{}/{}",
+            part.deployment.name, part.deployment.groups[part.group].name
+        );
+        let l = &part.load;
+        let p99 = ms(l.latency.borrow().value_at_quantile(0.99));
+        println!(
+            "{name:<22}{:>9}{:>9}{:>8}{:>8}{:>6}{:>8}{:>7}{:>8}{p99:>9.1}",
+            l.requests.get(),
+            l.answered.get(),
+            l.refused.get(),
+            l.unknown.get(),
+            found.lost,
+            found.doubled,
+            l.stale.get(),
+            l.crossed.get()
+        );
+        total.lost += found.lost;
+        total.doubled += found.doubled;
+        total.false_refusals += found.false_refusals;
+        latency
+            .add(&*l.latency.borrow())
+            .map_err(|e| e.to_string())?;
+        if part.group == 0 {
+            gap = gap.max(l.gap_after(killed).unwrap_or(Duration::from_secs(3600)));
+        }
+    }
+    let sum = |f: fn(&Load) -> u64| parts.iter().map(|p| f(&p.load)).sum::<u64>();
+    let gap_ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+    println!(
+        "failover gap {gap_ms} ms · reads served by replicas {:.1} %",
+        share * 100.0
+    );
+    Ok(json!({
+        "seed": options.seed,
+        "requests": sum(|l| l.requests.get()),
+        "answered": sum(|l| l.answered.get()),
+        "refused_not_run": sum(|l| l.refused.get()),
+        "unknown": sum(|l| l.unknown.get()),
+        "lost": total.lost,
+        "doubled": total.doubled,
+        "false_refusals": total.false_refusals,
+        "stale": sum(|l| l.stale.get()),
+        "crossed": sum(|l| l.crossed.get()),
+        "gap_ms": gap_ms,
+        "replica_share": (share * 1000.0).round() / 1000.0,
+        "p50_ms": ms(latency.value_at_quantile(0.5)),
+        "p99_ms": ms(latency.value_at_quantile(0.99)),
+    }))
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn ms(us: u64) -> f64 {
+    us as f64 / 1000.0
+}
--- /dev/null
+++ b/xtask/src/load/check.rs
@@ -0,0 +1,56 @@
+//! Compares what callers were told with what the stand-ins recorded.
+
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+use crate::load::caller::{Caller, Told};
+
+/// One write and what its caller was told.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Key, unique for each write.
+    pub key: String,
+    /// What was told.
+    pub told: Told,
+}
+
+/// What the comparison found. Everything but `present` must be zero.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
+pub struct Audit {
+    /// Acknowledged writes that the primary does not hold.
+    pub lost: u64,
+    /// Writes that stand more than once.
+    pub doubled: u64,
+    /// Writes refused as not run that were made.
+    pub false_refusals: u64,
+    /// Rows seen.
+    pub present: u64,
+}
+
+/// Reads a member's own rows and compares them with what callers were told.
+pub async fn audit(member: &str, table: &str, records: &[Record]) -> Result<Audit, String> {
+    let caller = Caller::connect(member, "audit", "audit", "").await?;
+    let Told::Answer(keys) = caller.simple(&format!("SELECT k FROM {table}")).await else {
+        return Err(format!("{member} does not show its rows"));
+    };
+    let mut count: HashMap<&str, u64> = HashMap::new();
+    for key in &keys {
+        *count.entry(key).or_default() += 1;
+    }
+    let mut audit = Audit {
+        present: keys.len() as u64,
+        ..Audit::default()
+    };
+    for record in records {
+        let found = count.get(record.key.as_str()).copied().unwrap_or(0);
+        audit.doubled += found.saturating_sub(1);
+        match record.told {
+            Told::Answer(_) if found == 0 => audit.lost += 1,
+            Told::NotRun { .. } | Told::Failed(_) if found > 0 => audit.false_refusals += 1,
+            _ => {}
+        }
+    }
+    Ok(audit)
+}
--- /dev/null
+++ b/xtask/src/load/fleet.rs
@@ -0,0 +1,250 @@
+//! Many callers at once, which roam between daemons.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::load::caller::{Caller, Told};
+use crate::load::check::Record;
+
+/// What callers ask for.
+#[derive(Clone)]
+pub struct Mix {
+    /// Service.
+    pub service: String,
+    /// User.
+    pub user: String,
+    /// Table written to and read from.
+    pub table: String,
+    /// Addresses to roam between.
+    pub addrs: Vec<String>,
+    /// Callers at once.
+    pub callers: usize,
+    /// Pause between requests of one caller.
+    pub pause: Duration,
+    /// Share of writes, in percent.
+    pub writes: u32,
+    /// Share of aged lists, in percent.
+    pub lists: u32,
+    /// One request in so many is followed by a move to another daemon; 0 for never.
+    pub roam: u32,
+    /// Whether a caller that moves presents its token.
+    pub token: bool,
+    /// Seed of all choices.
+    pub seed: u64,
+}
+
+/// What callers saw.
+pub struct Load {
+    /// Requests made.
+    pub requests: Cell<u64>,
+    /// Requests answered by the database.
+    pub answered: Cell<u64>,
+    /// Requests refused as not run.
+    pub refused: Cell<u64>,
+    /// Requests with an unknown outcome.
+    pub unknown: Cell<u64>,
+    /// Reads that missed the caller's own acknowledged write.
+    pub stale: Cell<u64>,
+    /// Answers that belonged to another request.
+    pub crossed: Cell<u64>,
+    /// Connections that could not be made.
+    pub unconnected: Cell<u64>,
+    /// All writes.
+    pub records: RefCell<Vec<Record>>,
+    /// Instants at which acknowledged writes were begun and ended.
+    pub writes: RefCell<Vec<(Instant, Instant)>>,
+    /// Latency of answers, in µs.
+    pub latency: RefCell<Histogram<u64>>,
+    /// Latency of acknowledged writes, in µs.
+    pub write_latency: RefCell<Histogram<u64>>,
+    stop: Cell<bool>,
+}
+
+fn add(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
+
+impl Load {
+    /// An empty count.
+    pub fn new() -> Rc<Load> {
+        Rc::new(Load {
+            requests: Cell::new(0),
+            answered: Cell::new(0),
+            refused: Cell::new(0),
+            unknown: Cell::new(0),
+            stale: Cell::new(0),
+            crossed: Cell::new(0),
+            unconnected: Cell::new(0),
+            records: RefCell::default(),
+            writes: RefCell::default(),
+            latency: RefCell::new(Histogram::new(3).expect("three digits are valid")),
+            write_latency: RefCell::new(Histogram::new(3).expect("three digits are valid")),
+            stop: Cell::new(false),
+        })
+    }
+
+    /// Asks all callers to end after their running request.
+    pub fn end(&self) {
+        self.stop.set(true);
+    }
+
+    fn note(&self, told: &Told, took: Duration) {
+        add(&self.requests);
+        match told {
+            Told::Answer(_) => {
+                add(&self.answered);
+                let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+                self.latency.borrow_mut().saturating_record(us);
+            }
+            Told::NotRun { .. } | Told::Failed(_) => add(&self.refused),
+            Told::Unknown => add(&self.unknown),
+        }
+    }
+
+    /// The longest time without an acknowledged write that was begun after `from`.
+    pub fn gap_after(&self, from: Instant) -> Option<Duration> {
+        let writes = self.writes.borrow();
+        let first = writes
+            .iter()
+            .filter(|(begin, _)| *begin >= from)
+            .map(|(_, end)| *end)
+            .min()?;
+        // A write that was waiting when the primary failed counts as served when it ended.
+        let waited = writes
+            .iter()
+            .filter(|(begin, end)| *begin < from && *end > from)
+            .map(|(_, end)| *end);
+        let after: Vec<Instant> = waited.chain([first]).collect();
+        after.into_iter().min().map(|at| at - from)
+    }
+}
+
+/// Runs callers until `Load::end`.
+pub async fn run(load: Rc<Load>, mix: Mix) {
+    let tasks: Vec<_> = (0..mix.callers)
+        .map(|i| {
+            let (load, mix) = (load.clone(), mix.clone());
+            tokio::task::spawn_local(async move { one(&load, &mix, i).await })
+        })
+        .collect();
+    for task in tasks {
+        let _ = task.await;
+    }
+}
+
+/// What a caller remembers between connections.
+struct Memory {
+    random: fastrand::Rng,
+    token: String,
+    /// Keys of its acknowledged writes.
+    mine: Vec<String>,
+    count: u64,
+    name: String,
+}
+
+async fn one(load: &Load, mix: &Mix, index: usize) {
+    let mut memory = Memory {
+        random: fastrand::Rng::with_seed(mix.seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9)),
+        token: String::new(),
+        mine: Vec::new(),
+        count: 0,
+        name: format!("{}-{}-{index}", mix.user, mix.service),
+    };
+    while !load.stop.get() {
+        let addr = memory
+            .random
+            .choice(&mix.addrs)
+            .expect("there are addresses")
+            .clone();
+        let token = if mix.token {
+            memory.token.clone()
+        } else {
+            String::new()
+        };
+        let Ok(caller) = Caller::connect(&addr, &mix.service, &mix.user, &token).await else {
+            add(&load.unconnected);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        stay(load, mix, &caller, &mut memory).await;
+        if !caller.is_closed() && mix.token {
+            memory.token = caller.token().await;
+        }
+    }
+}
+
+/// Makes requests on one connection until the caller moves on.
+async fn stay(load: &Load, mix: &Mix, caller: &Caller, memory: &mut Memory) {
+    while !load.stop.get() && !caller.is_closed() {
+        let choice = memory.random.u32(..100);
+        if choice < mix.writes {
+            write(load, mix, caller, memory).await;
+        } else if choice < mix.writes + mix.lists {
+            let begin = Instant::now();
+            let told = caller
+                .simple("SELECT v FROM catalogue WHERE k = 'all'")
+                .await;
+            load.note(&told, begin.elapsed());
+        } else {
+            look(load, mix, caller, memory).await;
+        }
+        if mix.roam > 0 && memory.random.u32(..mix.roam) == 0 {
+            return;
+        }
+        tokio::time::sleep(mix.pause).await;
+    }
+}
+
+async fn write(load: &Load, mix: &Mix, caller: &Caller, memory: &mut Memory) {
+    memory.count += 1;
+    let key = format!("{}-{}", memory.name, memory.count);
+    let sql = format!(
+        "INSERT INTO {} (k, v) VALUES ('{key}', 'booked')",
+        mix.table
+    );
+    let begin = Instant::now();
+    let told = caller.simple(&sql).await;
+    let end = Instant::now();
+    load.note(&told, end - begin);
+    if matches!(told, Told::Answer(_)) {
+        memory.mine.push(key.clone());
+        load.writes.borrow_mut().push((begin, end));
+        let us = u64::try_from((end - begin).as_micros()).unwrap_or(u64::MAX);
+        load.write_latency.borrow_mut().saturating_record(us);
+    }
+    load.records.borrow_mut().push(Record { key, told });
+}
+
+/// Reads one of the caller's own writes back; both halves of the answer are checked.
+async fn look(load: &Load, mix: &Mix, caller: &Caller, memory: &mut Memory) {
+    let key = memory
+        .random
+        .choice(&memory.mine)
+        .cloned()
+        .unwrap_or_else(|| "nobody".to_owned());
+    let begin = Instant::now();
+    let told = if memory.random.bool() {
+        caller
+            .prepared(
+                &format!("SELECT k FROM {} WHERE k = $1", mix.table),
+                &[&key],
+            )
+            .await
+    } else {
+        caller
+            .simple(&format!("SELECT k FROM {} WHERE k = '{key}'", mix.table))
+            .await
+    };
+    load.note(&told, begin.elapsed());
+    if let Told::Answer(rows) = told {
+        if key != "nobody" && rows.is_empty() {
+            add(&load.stale);
+        }
+        if rows.iter().any(|r| *r != key) {
+            add(&load.crossed);
+        }
+    }
+}
