--- a/crates/daemon/src/home/confirm.rs
+++ b/crates/daemon/src/home/confirm.rs
@@ -61,7 +61,11 @@
     ) -> Option<Mark> {
         loop {
             let seen = group.changed.count();
-            let (_, leader) = group.leader()?;
+            let found = match group.leader() {
+                Some(found) => Some(found),
+                None => self.search(group, until).await,
+            };
+            let (_, leader) = found?;
             let member = group.member(&leader)?;
             if let Some(r) = member.watch.report().filter(|r| r.asked >= since) {
                 if !r.leads {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod gather;
 mod home;
 mod internal;
+mod leader;
 mod relay;
 mod serve;
 mod state;
--- a/crates/pg/src/io.rs
+++ b/crates/pg/src/io.rs
@@ -109,6 +109,13 @@
         matches!(self.fill().await, Ok(n) if n > 0)
     }
 
+    /// Whether the peer has neither sent anything nor closed; does not wait.
+    pub async fn is_quiet(&mut self) -> bool {
+        let mut space = [0; 1];
+        let mut buf = ReadBuf::new(&mut space);
+        poll_fn(|cx| Poll::Ready(self.io.read(cx, &mut buf).is_pending())).await
+    }
+
     /// Frees the buffer of an idle connection.
     pub fn shrink(&mut self) {
         if self.input.is_empty() {
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -254,8 +254,7 @@
 
     /// Whether the idle connection is still of use: open, with nothing under way.
     pub async fn is_clean(&mut self) -> bool {
-        let idle = std::time::Duration::ZERO;
-        self.link.input.is_empty() && monoio::time::timeout(idle, self.link.fill()).await.is_err()
+        self.link.input.is_empty() && self.link.is_quiet().await
     }
 
     /// Settings in force on the connection.
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use crate::cluster::{Cluster, Deployment, Plan, interrupted, lakeshore, oprawka};
-use crate::load::{Audit, Load, Mix, audit, run};
+use crate::load::{Audit, LATENCY_MAX, Load, Mix, audit, run};
 
 /// Options of the demo.
 pub struct Options {
@@ -127,7 +127,8 @@
     let share = cluster.replica_share()?;
     let mut total = Audit::default();
     let mut gap = Duration::ZERO;
-    let mut latency = hdrhistogram::Histogram::<u64>::new(3).map_err(|e| e.to_string())?;
+    let mut latency =
+        hdrhistogram::Histogram::<u64>::new_with_max(LATENCY_MAX, 3).map_err(|e| e.to_string())?;
     println!(
         "{:<22}{:>9}{:>9}{:>8}{:>8}{:>6}{:>8}{:>7}{:>8}{:>9}",
         "service",
@@ -198,3 +199,48 @@
 fn ms(us: u64) -> f64 {
     us as f64 / 1000.0
 }
+
+pub fn debug() -> Result<(), String> {
+    let mut cluster = Cluster::start(Plan::default(), vec![lakeshore()])?;
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
+    cluster.keep_logs();
+    local.block_on(&runtime, async {
+        for d in ["entry-11", "entry-21", "entry-22", "entry-23"] {
+            println!("== {d}");
+            let t = Instant::now();
+            let c = crate::load::Caller::connect(
+                &cluster.caller_addr(d),
+                "slots",
+                "lakeshore-desk",
+                "",
+            )
+            .await?;
+            println!("connect {:?}", t.elapsed());
+            for sql in [
+                "SELECT v FROM catalogue WHERE k = 'all'",
+                "INSERT INTO bookings (k, v) VALUES ('a', 'b')",
+                "SELECT k FROM bookings WHERE k = 'a'",
+                "SHOW hollyreach.token",
+            ] {
+                for _ in 0..4 {
+                    let t = Instant::now();
+                    let told = c.simple(sql).await;
+                    println!("{sql}: {told:?} {:?}", t.elapsed());
+                }
+            }
+            for _ in 0..3 {
+                let t = Instant::now();
+                let told = c
+                    .prepared("SELECT k FROM bookings WHERE k = $1", &["a"])
+                    .await;
+                println!("prepared: {told:?} {:?}", t.elapsed());
+            }
+        }
+        Ok::<(), String>(())
+    })?;
+    Ok(())
+}
--- a/xtask/src/load/fleet.rs
+++ b/xtask/src/load/fleet.rs
@@ -9,6 +9,9 @@
 use crate::load::caller::{Caller, Told};
 use crate::load::check::Record;
 
+/// Highest latency told apart, in µs.
+pub const LATENCY_MAX: u64 = 60_000_000;
+
 /// What callers ask for.
 #[derive(Clone)]
 pub struct Mix {
@@ -80,8 +83,12 @@
             unconnected: Cell::new(0),
             records: RefCell::default(),
             writes: RefCell::default(),
-            latency: RefCell::new(Histogram::new(3).expect("three digits are valid")),
-            write_latency: RefCell::new(Histogram::new(3).expect("three digits are valid")),
+            latency: RefCell::new(
+                Histogram::new_with_max(LATENCY_MAX, 3).expect("the bounds are valid"),
+            ),
+            write_latency: RefCell::new(
+                Histogram::new_with_max(LATENCY_MAX, 3).expect("the bounds are valid"),
+            ),
             stop: Cell::new(false),
         })
     }
--- a/xtask/src/load/mod.rs
+++ b/xtask/src/load/mod.rs
@@ -4,6 +4,6 @@
 mod check;
 mod fleet;
 
-pub use caller::{Caller, Told, told};
-pub use check::{Audit, Record, audit};
-pub use fleet::{Load, Mix, run};
+pub use caller::{Caller, Told};
+pub use check::{Audit, audit};
+pub use fleet::{LATENCY_MAX, Load, Mix, run};
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -46,6 +46,7 @@
 fn main() {
     let result = match options().run() {
         Chore::Codegen { check } => codegen_chore(check),
+        Chore::Demo(options) if options.seconds == 0 => demo::debug(),
         Chore::Demo(options) => demo::demo(&options),
     };
     if let Err(text) = result {
