Add proofs under failure and the naive way to compare with

Cause of the 1.9 s failover gap: a dead process behind a gateway closes connections instead of refusing them, and two wardens at the same rank raised the term at once. Change: a connection that closes without an answer counts as refused; wardens are ranked by the members that report, which all see alike; a warden that lost a duel tries again.

--- a/crates/daemon/src/home/control.rs
+++ b/crates/daemon/src/home/control.rs
@@ -20,7 +20,7 @@
 /// Why a control statement has no answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Probe {
-    /// Nothing listens at the address.
+    /// The process is gone.
     Refused,
     /// No answer in time, or the connection was lost.
     Silent,
@@ -60,7 +60,7 @@
         let answer = monoio::time::timeout(Duration::from_millis(within), ask(member, sql)).await;
         let row = match answer {
             Ok(Ok(row)) => row,
-            Ok(Err(e)) if e.is_refused() => return Err(Probe::Refused),
+            Ok(Err(e)) if e.is_gone() => return Err(Probe::Refused),
             _ => return Err(Probe::Silent),
         };
         let report = (self.shape.parse)(&row, asked).ok_or(Probe::Silent)?;
--- a/crates/daemon/src/warden/examine.rs
+++ b/crates/daemon/src/warden/examine.rs
@@ -14,6 +14,9 @@
 const PROBE_MS: u64 = 120;
 /// Lead that each warden leaves to those ranked before it, in ms.
 const RANK_STEP_MS: u64 = 100;
+/// Attempts while other wardens raise the term as well, and the pause between them, in ms.
+const DUELS_MAX: u64 = 5;
+const DUEL_PAUSE_MS: std::ops::Range<u64> = 5..80;
 /// Pause after an examination that changed nothing, in ms.
 const REST_MS: u64 = 30;
 
@@ -59,10 +62,11 @@
             sleep(REST_MS).await;
             return;
         };
-        sleep(self.rank(group) * RANK_STEP_MS).await;
+        let rank = self.rank(group, &seen);
+        sleep(rank * RANK_STEP_MS).await;
         // A warden ranked before may have finished meanwhile, so what was seen counts no more.
         let begin = Ms::now();
-        let seen = if self.rank(group) == 0 {
+        let mut seen = if rank == 0 {
             seen
         } else {
             self.probe_all(group).await
@@ -87,7 +91,17 @@
             begin,
             planned: false,
         };
-        self.change_primary(group, &seen, evidence).await;
+        for _ in 0..DUELS_MAX {
+            if self.change_primary(group, &seen, evidence).await {
+                return;
+            }
+            // Another warden has raised the term as well; the pauses differ, so one gets ahead.
+            sleep(fastrand::u64(DUEL_PAUSE_MS)).await;
+            seen = self.probe_all(group).await;
+            if self.follow_known(group, member, &seen).await || is_led(&seen) {
+                return;
+            }
+        }
     }
 
     /// Probes all members side by side, in the order of the configuration.
@@ -171,13 +185,16 @@
         granted
     }
 
-    /// This daemon's rank among those that watch members other than the lost primary.
-    fn rank(&self, group: &GroupState) -> u64 {
-        let lost = group.route.borrow().leader.clone();
+    /// This daemon's rank among the homes of the members that report, which all wardens see alike.
+    fn rank(&self, group: &GroupState, seen: &[Seen]) -> u64 {
         let homes = usize::try_from(self.settings.limits.homes).unwrap_or(usize::MAX);
-        let others = group.members.iter().filter(|m| m.config.name != lost);
-        let names: std::collections::BTreeSet<Box<str>> = others
-            .flat_map(|m| self.roster.ranking(&m.config).into_iter().take(homes))
+        let reporting = group
+            .members
+            .iter()
+            .zip(seen)
+            .filter(|(_, s)| matches!(s, Seen::Report(_)));
+        let names: std::collections::BTreeSet<Box<str>> = reporting
+            .flat_map(|(m, _)| self.roster.ranking(&m.config).into_iter().take(homes))
             .collect();
         let order = ranked(&group.name, names.iter().map(|n| &**n));
         order
@@ -187,6 +204,21 @@
     }
 }
 
+/// Whether a member leads the newest term seen.
+fn is_led(seen: &[Seen]) -> bool {
+    let reports = || {
+        seen.iter().filter_map(|s| {
+            if let Seen::Report(r) = s {
+                Some(r)
+            } else {
+                None
+            }
+        })
+    };
+    let newest = reports().map(|r| r.term).max();
+    reports().any(|r| r.leads && Some(r.term) == newest)
+}
+
 /// Why a change is made.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Evidence {
--- a/crates/group/src/evidence.rs
+++ b/crates/group/src/evidence.rs
@@ -8,7 +8,7 @@
 pub enum Seen {
     /// It reported.
     Report(MemberReport),
-    /// Nothing listens at its address: the process is gone.
+    /// Its process is gone: connections are refused or closed at once.
     Refused,
     /// It did not answer in time.
     Silent,
--- a/crates/hollyreach/src/main.rs
+++ b/crates/hollyreach/src/main.rs
@@ -16,7 +16,13 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format(|out, record| {
             use std::io::Write;
-            writeln!(out, "{} {}", record.level(), record.args())
+            writeln!(
+                out,
+                "{} {} {}",
+                base::Ms::unix(),
+                record.level(),
+                record.args()
+            )
         })
         .init();
     std::process::exit(run(args::parse()));
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -45,9 +45,10 @@
         }
     }
 
-    /// Whether nothing listens at the address.
-    pub fn is_refused(&self) -> bool {
-        matches!(self, LostError::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+    /// Whether the process is gone: nothing listens, or the connection closed without an answer,
+    /// as it does behind a gateway. A frozen process keeps its connections open instead.
+    pub fn is_gone(&self) -> bool {
+        matches!(self, LostError::Io(e) if e.kind() != std::io::ErrorKind::TimedOut)
     }
 }
 
--- a/crates/standin/src/links.rs
+++ b/crates/standin/src/links.rs
@@ -37,7 +37,7 @@
 }
 
 /// Runs all links of a test in one process.
-pub fn run(options: Options) {
+pub fn run(options: &Options) {
     let delay = Duration::from_micros(options.delay_us);
     let mut links = BTreeMap::new();
     for pair in &options.pair {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,11 +1,12 @@
 //! Small stand-ins for the systems around hollyreach, for tests and demos only.
 //!
 //! `member` plays one member of a database group, `platform` the object API, `links` the network
-//! between data centres. The product never depends on this crate.
+//! between data centres, `naive` the proxy that proofs compare with. The product never depends on this crate.
 
 mod links;
 mod log;
 mod member;
+mod naive;
 mod platform;
 mod replication;
 mod session;
@@ -18,6 +19,7 @@
     Member(member::Options),
     Platform(Box<str>),
     Links(links::Options),
+    Naive(naive::Options),
 }
 
 fn text(name: &'static str, help: &'static str) -> impl Parser<Box<str>> {
@@ -77,13 +79,21 @@
     let links = construct!(Role::Links(options))
         .to_options()
         .command("links");
-    construct!([member, platform, links])
+    let listen = text("listen", "address to accept connections on");
+    let to = text("to", "address to pass connections on to").many();
+    let spread = long("spread").help("use the addresses in turn").switch();
+    let options = construct!(naive::Options { listen, to, spread });
+    let naive = construct!(Role::Naive(options))
+        .to_options()
+        .command("naive");
+    construct!([member, platform, links, naive])
 }
 
 fn main() {
     match role().to_options().run() {
         Role::Member(options) => member::run(options),
         Role::Platform(listen) => platform::run(&listen),
-        Role::Links(options) => links::run(options),
+        Role::Links(options) => links::run(&options),
+        Role::Naive(options) => naive::run(&options),
     }
 }
--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -54,6 +54,8 @@
     pub changed: Condvar,
     pub open: AtomicU64,
     pub refused: AtomicU64,
+    /// Statements on tables that were run.
+    pub served: AtomicU64,
     pub lag_ms: AtomicU64,
     pub work_us: AtomicU64,
     /// Answers to send shifted by one: each statement gets its predecessor's answer.
@@ -185,6 +187,7 @@
         drop(state);
         std::thread::sleep(Duration::from_micros(self.work_us.load(Ordering::Relaxed)));
         let out = work();
+        self.served.fetch_add(1, Ordering::Relaxed);
         self.lock().running -= 1;
         self.changed.notify_all();
         out
@@ -218,6 +221,7 @@
         changed: Condvar::new(),
         open: AtomicU64::new(0),
         refused: AtomicU64::new(0),
+        served: AtomicU64::new(0),
         crossed: AtomicU64::new(0),
         lose: AtomicU64::new(0),
     });
--- a/crates/standin/src/sql.rs
+++ b/crates/standin/src/sql.rs
@@ -373,6 +373,18 @@
         "hollyreach_raise" => member.raise(num(1), text(2)),
         "hollyreach_promote" => member.promote(num(1), text(2)),
         "hollyreach_follow" => member.follow(num(1), text(2)),
+        "hollyreach_counts" => {
+            let count = |c: &std::sync::atomic::AtomicU64| c.load(Ordering::Relaxed).to_string();
+            let row = vec![
+                count(&member.open),
+                count(&member.refused),
+                count(&member.served),
+            ];
+            return Reply::Rows {
+                names: vec!["open", "refused", "served"],
+                rows: vec![row],
+            };
+        }
         "hollyreach_fault" => {
             let knob = match text(1) {
                 "lag_ms" => &member.lag_ms,
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -376,16 +376,58 @@
 
     fn publish_institutions(&self) -> Result<(), String> {
         for deployment in &self.deployments {
-            let members = |group: &GroupPlan| -> Vec<Value> {
-                let list = self.group_members(&deployment.name, &group.name);
-                list.iter().map(|m| json!({"name": m.name, "data_center": format!("dc{}", m.center), "addr": m.addr})).collect()
-            };
-            let value = deployment.institution(members);
+            let value = self.first_institution(&deployment.name)?;
             self.admin(&json!({"restore": format!("institutions/{}", deployment.name), "version": 1, "value": value}))?;
         }
         Ok(())
     }
 
+    /// The first version of an institution's object.
+    pub fn first_institution(&self, name: &str) -> Result<Value, String> {
+        let deployment = self
+            .deployments
+            .iter()
+            .find(|d| d.name == name)
+            .ok_or("no such institution")?;
+        let members = |group: &GroupPlan| -> Vec<Value> {
+            let list = self.group_members(&deployment.name, &group.name);
+            let member = |m: &MemberRef| json!({"name": m.name, "data_center": format!("dc{}", m.center), "addr": m.addr});
+            list.iter().map(member).collect()
+        };
+        Ok(deployment.institution(members))
+    }
+
+    /// Address of the naive proxy.
+    pub fn naive_addr(&self) -> String {
+        format!("{}:{CALLER_PORT}", self.ip(PLATFORM, 3))
+    }
+
+    /// Starts the naive proxy before the first group, in place of an earlier one.
+    pub fn start_naive(&mut self, spread: bool) -> Result<(), String> {
+        self.kill("naive");
+        let mut args = vec!["naive".to_owned(), "--listen".to_owned(), self.naive_addr()];
+        for member in self.members().into_iter().take(CENTERS.len()) {
+            args.extend(["--to".to_owned(), member.addr]);
+        }
+        if spread {
+            args.push("--spread".to_owned());
+        }
+        let process = self.spawner.standin("naive", &args)?;
+        self.processes.push(("naive".to_owned(), process));
+        for _ in 0..100 {
+            if std::net::TcpStream::connect(self.naive_addr()).is_ok() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(())
+    }
+
+    /// Path of the product's binary.
+    pub fn binary(&self) -> PathBuf {
+        target().join("release/hollyreach")
+    }
+
     fn wait_ready(&self, limit: Duration) -> Result<(), String> {
         let until = Instant::now() + limit;
         for name in self.daemons() {
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -13,6 +13,7 @@
     pub seed: u64,
     pub seconds: u64,
     pub json: bool,
+    pub keep: bool,
 }
 
 /// Callers of each service.
@@ -28,6 +29,9 @@
 /// Runs the demo; the error says what did not hold.
 pub fn demo(options: &Options) -> Result<(), String> {
     let mut cluster = Cluster::start(Plan::default(), vec![lakeshore(), oprawka()])?;
+    if options.keep {
+        cluster.keep_logs();
+    }
     let local = tokio::task::LocalSet::new();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -168,7 +172,7 @@
             .add(&*l.latency.borrow())
             .map_err(|e| e.to_string())?;
         if part.group == 0 {
-            gap = gap.max(l.gap_after(killed).unwrap_or(Duration::from_secs(3600)));
+            gap = gap.max(l.gap_after(killed));
         }
     }
     let sum = |f: fn(&Load) -> u64| parts.iter().map(|p| f(&p.load)).sum::<u64>();
@@ -199,48 +203,3 @@
 fn ms(us: u64) -> f64 {
     us as f64 / 1000.0
 }
-
-pub fn debug() -> Result<(), String> {
-    let mut cluster = Cluster::start(Plan::default(), vec![lakeshore()])?;
-    let local = tokio::task::LocalSet::new();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| e.to_string())?;
-    cluster.keep_logs();
-    local.block_on(&runtime, async {
-        for d in ["entry-11", "entry-21", "entry-22", "entry-23"] {
-            println!("== {d}");
-            let t = Instant::now();
-            let c = crate::load::Caller::connect(
-                &cluster.caller_addr(d),
-                "slots",
-                "lakeshore-desk",
-                "",
-            )
-            .await?;
-            println!("connect {:?}", t.elapsed());
-            for sql in [
-                "SELECT v FROM catalogue WHERE k = 'all'",
-                "INSERT INTO bookings (k, v) VALUES ('a', 'b')",
-                "SELECT k FROM bookings WHERE k = 'a'",
-                "SHOW hollyreach.token",
-            ] {
-                for _ in 0..4 {
-                    let t = Instant::now();
-                    let told = c.simple(sql).await;
-                    println!("{sql}: {told:?} {:?}", t.elapsed());
-                }
-            }
-            for _ in 0..3 {
-                let t = Instant::now();
-                let told = c
-                    .prepared("SELECT k FROM bookings WHERE k = $1", &["a"])
-                    .await;
-                println!("prepared: {told:?} {:?}", t.elapsed());
-            }
-        }
-        Ok::<(), String>(())
-    })?;
-    Ok(())
-}
--- a/xtask/src/load/check.rs
+++ b/xtask/src/load/check.rs
@@ -31,6 +31,19 @@
 
 /// Reads a member's own rows and compares them with what callers were told.
 pub async fn audit(member: &str, table: &str, records: &[Record]) -> Result<Audit, String> {
+    let pairs: Vec<(String, Told)> = records
+        .iter()
+        .map(|r| (r.key.clone(), r.told.clone()))
+        .collect();
+    audit_of(member, table, &pairs).await
+}
+
+/// As `audit`, of keys with what their callers were told.
+pub async fn audit_of(
+    member: &str,
+    table: &str,
+    records: &[(String, Told)],
+) -> Result<Audit, String> {
     let caller = Caller::connect(member, "audit", "audit", "").await?;
     let Told::Answer(keys) = caller.simple(&format!("SELECT k FROM {table}")).await else {
         return Err(format!("{member} does not show its rows"));
@@ -43,10 +56,10 @@
         present: keys.len() as u64,
         ..Audit::default()
     };
-    for record in records {
-        let found = count.get(record.key.as_str()).copied().unwrap_or(0);
+    for (key, told) in records {
+        let found = count.get(key.as_str()).copied().unwrap_or(0);
         audit.doubled += found.saturating_sub(1);
-        match record.told {
+        match told {
             Told::Answer(_) if found == 0 => audit.lost += 1,
             Told::NotRun { .. } | Told::Failed(_) if found > 0 => audit.false_refusals += 1,
             _ => {}
--- a/xtask/src/load/fleet.rs
+++ b/xtask/src/load/fleet.rs
@@ -12,6 +12,9 @@
 /// Highest latency told apart, in µs.
 pub const LATENCY_MAX: u64 = 60_000_000;
 
+/// Gap told when nothing was acknowledged any more.
+const NEVER: Duration = Duration::from_secs(3600);
+
 /// What callers ask for.
 #[derive(Clone)]
 pub struct Mix {
@@ -111,21 +114,22 @@
         }
     }
 
-    /// The longest time without an acknowledged write that was begun after `from`.
-    pub fn gap_after(&self, from: Instant) -> Option<Duration> {
-        let writes = self.writes.borrow();
-        let first = writes
-            .iter()
-            .filter(|(begin, _)| *begin >= from)
-            .map(|(_, end)| *end)
-            .min()?;
-        // A write that was waiting when the primary failed counts as served when it ended.
-        let waited = writes
+    /// The longest time without an acknowledged write from `from` on.
+    pub fn gap_after(&self, from: Instant) -> Duration {
+        let mut ends: Vec<Instant> = self
+            .writes
+            .borrow()
             .iter()
-            .filter(|(begin, end)| *begin < from && *end > from)
-            .map(|(_, end)| *end);
-        let after: Vec<Instant> = waited.chain([first]).collect();
-        after.into_iter().min().map(|at| at - from)
+            .map(|w| w.1)
+            .filter(|end| *end > from)
+            .collect();
+        ends.sort_unstable();
+        let starts = std::iter::once(from).chain(ends.iter().copied());
+        starts
+            .zip(&ends)
+            .map(|(a, b)| *b - a)
+            .max()
+            .unwrap_or(NEVER)
     }
 }
 
--- a/xtask/src/load/mod.rs
+++ b/xtask/src/load/mod.rs
@@ -5,5 +5,5 @@
 mod fleet;
 
 pub use caller::{Caller, Told};
-pub use check::{Audit, audit};
+pub use check::{Audit, audit, audit_of};
 pub use fleet::{LATENCY_MAX, Load, Mix, run};
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,12 +4,14 @@
 mod codegen;
 mod demo;
 mod load;
+mod prove;
 
-use bpaf::{OptionParser, Parser, construct, long};
+use bpaf::{OptionParser, Parser, construct, long, positional};
 
 enum Chore {
     Codegen { check: bool },
     Demo(demo::Options),
+    Prove(prove::Options),
 }
 
 fn seed() -> impl Parser<u64> {
@@ -31,23 +33,45 @@
         .fallback(20);
     let json = long("json").help("print a last line of JSON").switch();
     let seed = seed();
+    let keep = long("keep").help("keep the logs").switch();
     let options = construct!(demo::Options {
         seed,
         seconds,
-        json
+        json,
+        keep
     });
     let demo = construct!(Chore::Demo(options))
         .to_options()
         .descr("Run both deployments and kill a primary of each")
         .command("demo");
-    construct!([codegen, demo]).to_options()
+    let list = long("list").help("name the cases").switch();
+    let all = long("all").help("run every case").switch();
+    let naive = long("naive")
+        .help("run the naive way instead, which is expected to fail")
+        .switch();
+    let keep = long("keep").help("keep the logs").switch();
+    let seed = self::seed();
+    let case = positional::<String>("CASE").help("case to run").optional();
+    let options = construct!(prove::Options {
+        list,
+        all,
+        naive,
+        keep,
+        seed,
+        case
+    });
+    let prove = construct!(Chore::Prove(options))
+        .to_options()
+        .descr("Bring failures about and check what must hold")
+        .command("prove");
+    construct!([codegen, demo, prove]).to_options()
 }
 
 fn main() {
     let result = match options().run() {
         Chore::Codegen { check } => codegen_chore(check),
-        Chore::Demo(options) if options.seconds == 0 => demo::debug(),
         Chore::Demo(options) => demo::demo(&options),
+        Chore::Prove(options) => prove::prove(&options),
     };
     if let Err(text) = result {
         eprintln!("xtask: {text}");
