Cancel a request wherever it runs

Cause: the cancel case ran its statement on a replica's home, and the session only knew homes of open transactions. Change: each attempt notes the daemon that it was sent to.

--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -45,6 +45,7 @@
     /// Sends a batch to a daemon and waits for its answer.
     pub async fn attempt(self: &Rc<Self>, home: &str, run: Run) -> Tried {
         let member = run.member.clone();
+        let _sent = self.cancels.sent(run.id, home);
         if *home == *self.roster.me {
             let answer = self.run_batch(run, 0).await;
             let hold = (answer.lease != 0).then(|| Hold::here(self, &member, &answer));
--- a/crates/daemon/src/entry/session.rs
+++ b/crates/daemon/src/entry/session.rs
@@ -162,9 +162,8 @@
         let (answer, place) = monoio::select! {
             done = self.dispatch(&plan, run, until) => done,
             () = caller.closed() => {
-                let running = current.borrow().clone();
-                if let Some((id, home)) = running {
-                    daemon.cancel_run(id, &home).await;
+                if let Some(id) = current.get() {
+                    daemon.cancel_run(id).await;
                 }
                 return None;
             }
@@ -208,7 +207,9 @@
             return (self.in_lost_transaction(&run), String::new());
         }
         if let Some(mut hold) = self.hold.take() {
-            *self.current.borrow_mut() = Some((id, hold.home.clone()));
+            self.current.set(Some(id));
+            let daemon = self.daemon.clone();
+            let _sent = daemon.cancels.sent(id, &hold.home);
             let commits = may_commit(&run);
             let Some(group) = self.daemon.group(&self.group) else {
                 return (refusal(id, Why::LostTransaction, 0), String::new());
@@ -231,7 +232,7 @@
         let Some(group) = self.daemon.group(&self.group) else {
             return (refusal(id, Why::NoConfig, 0), String::new());
         };
-        *self.current.borrow_mut() = Some((id, "".into()));
+        self.current.set(Some(id));
         let (tried, place) = if plan.read {
             let read = self.daemon.run_read(&group, plan, run, until).await;
             (read.tried, read.place)
@@ -241,7 +242,7 @@
                 String::new(),
             )
         };
-        *self.current.borrow_mut() = None;
+        self.current.set(None);
         self.hold = tried.hold;
         (tried.answer, place)
     }
--- a/crates/daemon/src/entry/sessions.rs
+++ b/crates/daemon/src/entry/sessions.rs
@@ -6,8 +6,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// What a session runs now: the request, and the daemon that runs it.
-pub type Current = Rc<RefCell<Option<(u64, Box<str>)>>>;
+/// The request that a session runs now.
+pub type Current = Rc<Cell<Option<u64>>>;
 
 /// All sessions of a daemon.
 #[derive(Default)]
@@ -59,8 +59,8 @@
     }
 
     /// What the session with a cancel key runs now.
-    pub fn current(&self, secret: u32) -> Option<(u64, Box<str>)> {
-        self.keys.borrow().get(&secret)?.borrow().clone()
+    pub fn current(&self, secret: u32) -> Option<u64> {
+        self.keys.borrow().get(&secret)?.get()
     }
 }
 
--- a/crates/daemon/src/home/cancel.rs
+++ b/crates/daemon/src/home/cancel.rs
@@ -1,4 +1,4 @@
-//! Cancelling what runs on an upstream.
+//! Where requests run now, so that they can be cancelled.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -7,26 +7,54 @@
 /// Address of an upstream and the key of the connection.
 type Target = (SocketAddr, (i32, i32));
 
-/// Batches that run on upstreams now, by request id.
+/// Requests under way, by their id.
 #[derive(Default)]
-pub struct Cancels(RefCell<HashMap<u64, Target>>);
+pub struct Cancels {
+    /// Batches that this daemon runs on upstreams.
+    running: RefCell<HashMap<u64, Target>>,
+    /// Daemons that this daemon sent requests to.
+    sent: RefCell<HashMap<u64, Box<str>>>,
+}
+
+/// A request under way; dropping it ends the note.
+pub struct Sent<'a> {
+    cancels: &'a Cancels,
+    id: u64,
+}
 
 impl Cancels {
-    /// Notes that a batch runs.
+    /// Notes that a batch runs on an upstream.
     pub fn note(&self, id: u64, addr: SocketAddr, key: (i32, i32)) {
-        self.0.borrow_mut().insert(id, (addr, key));
+        self.running.borrow_mut().insert(id, (addr, key));
     }
 
     /// Notes that it has ended.
     pub fn forget(&self, id: u64) {
-        self.0.borrow_mut().remove(&id);
+        self.running.borrow_mut().remove(&id);
+    }
+
+    /// Notes that a request is sent to a daemon.
+    pub fn sent(&self, id: u64, home: &str) -> Sent<'_> {
+        self.sent.borrow_mut().insert(id, home.into());
+        Sent { cancels: self, id }
+    }
+
+    /// The daemon that a request was sent to.
+    pub fn home(&self, id: u64) -> Option<Box<str>> {
+        self.sent.borrow().get(&id).cloned()
     }
 
     /// Asks the upstream to cancel a batch, if it still runs.
     pub async fn cancel(&self, id: u64) {
-        let target = self.0.borrow().get(&id).copied();
+        let target = self.running.borrow().get(&id).copied();
         if let Some((addr, key)) = target {
             let _ = pg::cancel(addr, key).await;
         }
     }
 }
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        self.cancels.sent.borrow_mut().remove(&self.id);
+    }
+}
--- a/crates/daemon/src/internal.rs
+++ b/crates/daemon/src/internal.rs
@@ -125,8 +125,8 @@
     /// Cancels the running request of a session, here or on the daemon that its key names.
     pub async fn cancel(self: &Rc<Self>, ask: &Cancel) {
         if ask.pid == key_of(&self.roster.me) {
-            if let Some((id, home)) = self.sessions.current(ask.secret) {
-                self.cancel_run(id, &home).await;
+            if let Some(id) = self.sessions.current(ask.secret) {
+                self.cancel_run(id).await;
             }
             return;
         }
@@ -139,31 +139,15 @@
         }
     }
 
-    /// Cancels a running batch at its home; with no home named, everywhere it can be.
-    pub async fn cancel_run(self: &Rc<Self>, id: u64, home: &str) {
-        if home.is_empty() || *home == *self.roster.me {
+    /// Cancels a request wherever it runs now.
+    pub async fn cancel_run(self: &Rc<Self>, id: u64) {
+        let Some(home) = self.cancels.home(id).filter(|h| *h != self.roster.me) else {
             self.cancels.cancel(id).await;
-        }
-        if *home != *self.roster.me {
-            let ask = CancelRun {
-                id,
-                group: "".into(),
-                member: "".into(),
-            };
-            let names = if home.is_empty() {
-                Vec::new()
-            } else {
-                vec![home.into()]
-            };
-            for name in names {
-                let name: Box<str> = name;
-                if let Some(addr) = self.roster.daemon(&name) {
-                    let _: Result<Done, _> = self
-                        .peers
-                        .call(addr, "/v1/cancel-run", &ask, CANCEL_MS)
-                        .await;
-                }
-            }
+            return;
+        };
+        let ask = CancelRun { id };
+        if let Some(addr) = self.roster.daemon(&home) {
+            let _: Result<Done, _> = self.peers.call(addr, "/v1/cancel-run", &ask, CANCEL_MS).await;
         }
     }
 }
