Keep a cancel that comes before its request reaches an upstream

Ruled out: the stand-in and the cancel's own way, by tracing both. Change: the request is marked, and refused as not run before it would be sent.

--- a/crates/daemon/src/cluster.rs
+++ b/crates/daemon/src/cluster.rs
@@ -107,6 +107,13 @@
         self.changed.notify();
     }
 
+    /// Notes what another daemon believes; it may be late, so only a newer term counts.
+    pub fn note_hint(&self, term: u64, leader: &str) {
+        if term > self.route.borrow().term {
+            self.note_leader(term, leader);
+        }
+    }
+
     /// Notes a member's report.
     pub fn note(&self, member: &MemberState, report: MemberReport) {
         if report.leads {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -44,6 +44,12 @@
 
     /// Sends a batch to a daemon and waits for its answer.
     pub async fn attempt(self: &Rc<Self>, home: &str, run: Run) -> Tried {
+        if self.cancels.is_marked(run.id) {
+            return Tried {
+                answer: refusal(run.id, Why::Cancelled, 0),
+                hold: None,
+            };
+        }
         let member = run.member.clone();
         let _sent = self.cancels.sent(run.id, home);
         if *home == *self.roster.me {
--- a/crates/daemon/src/entry/read.rs
+++ b/crates/daemon/src/entry/read.rs
@@ -43,6 +43,13 @@
                         place: "replica".to_owned(),
                     };
                 }
+                Err(Why::Cancelled) => {
+                    let answer = refusal(run.id, Why::Cancelled, 0);
+                    return Read {
+                        tried: Tried { answer, hold: None },
+                        place: "cancelled".to_owned(),
+                    };
+                }
                 Err(why) => reason = why,
             }
         }
--- a/crates/daemon/src/entry/session.rs
+++ b/crates/daemon/src/entry/session.rs
@@ -159,15 +159,18 @@
         let until = begin.plus(service.deadline_ms);
         let run = self.run_of(&plan, request, taint.is_some(), until);
         let (daemon, current) = (self.daemon.clone(), self.current.clone());
+        let id = run.id;
         let (answer, place) = monoio::select! {
             done = self.dispatch(&plan, run, until) => done,
             () = caller.closed() => {
                 if let Some(id) = current.get() {
                     daemon.cancel_run(id).await;
+                    daemon.cancels.unmark(id);
                 }
                 return None;
             }
         };
+        self.daemon.cancels.unmark(id);
         let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.daemon
             .stats
--- a/crates/daemon/src/entry/write.rs
+++ b/crates/daemon/src/entry/write.rs
@@ -90,7 +90,7 @@
                 tried = self.attempt(&home, attempt) => tried,
                 () = self.superseded(group, term) => Tried { answer: refusal(run.id, Why::LostLink, 0), hold: None },
             };
-            group.note_leader(tried.answer.term, &tried.answer.leader);
+            group.note_hint(tried.answer.term, &tried.answer.leader);
             match (tried.answer.outcome, tried.answer.why) {
                 (Outcome::Done, _) => return Ok(tried),
                 (Outcome::NotRun, why @ (Why::NoHome | Why::Leaving | Why::NoConfig)) => last = why,
--- a/crates/daemon/src/home/cancel.rs
+++ b/crates/daemon/src/home/cancel.rs
@@ -1,7 +1,7 @@
 //! Where requests run now, so that they can be cancelled.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// Address of an upstream and the key of the connection.
@@ -14,6 +14,8 @@
     running: RefCell<HashMap<u64, Target>>,
     /// Daemons that this daemon sent requests to.
     sent: RefCell<HashMap<u64, Box<str>>>,
+    /// Requests cancelled before they reached an upstream; they must not reach one any more.
+    marked: RefCell<HashSet<u64>>,
 }
 
 /// A request under way; dropping it ends the note.
@@ -44,13 +46,25 @@
         self.sent.borrow().get(&id).cloned()
     }
 
-    /// Asks the upstream to cancel a batch, if it still runs.
+    /// Asks the upstream to cancel a batch, or marks it if it has not reached one yet.
     pub async fn cancel(&self, id: u64) {
         let target = self.running.borrow().get(&id).copied();
         if let Some((addr, key)) = target {
             let _ = pg::cancel(addr, key).await;
+        } else {
+            self.marked.borrow_mut().insert(id);
         }
     }
+
+    /// Whether a request was cancelled before it reached an upstream.
+    pub fn is_marked(&self, id: u64) -> bool {
+        self.marked.borrow().contains(&id)
+    }
+
+    /// Forgets a mark when its request ends.
+    pub fn unmark(&self, id: u64) {
+        self.marked.borrow_mut().remove(&id);
+    }
 }
 
 impl Drop for Sent<'_> {
--- a/crates/daemon/src/home/run.rs
+++ b/crates/daemon/src/home/run.rs
@@ -90,6 +90,7 @@
         let counted = Counted::new(&self.running);
         let mut answer = self.run_here(&run, link, begin).await;
         drop(counted);
+        self.cancels.unmark(run.id);
         if let Some(group) = self.group(&run.group) {
             let route = group.route.borrow();
             answer.term = route.term;
@@ -172,6 +173,9 @@
         if place.until.left() == 0 {
             return Err(Why::Deadline);
         }
+        if self.cancels.is_marked(run.id) {
+            return Err(Why::Cancelled);
+        }
         let (ran, report) = match self.send(run, place, &mut taken).await {
             Ok(done) => done,
             Err(why) => return Ok(refusal(run.id, why, 0)),
--- a/crates/daemon/src/internal.rs
+++ b/crates/daemon/src/internal.rs
@@ -125,7 +125,15 @@
     /// Cancels the running request of a session, here or on the daemon that its key names.
     pub async fn cancel(self: &Rc<Self>, ask: &Cancel) {
         if ask.pid == key_of(&self.roster.me) {
-            if let Some(id) = self.sessions.current(ask.secret) {
+            let running = self.sessions.current(ask.secret);
+            emit(
+                Event::CancelTaken,
+                &[
+                    ("running", &running.is_some()),
+                    ("id", &running.unwrap_or(0)),
+                ],
+            );
+            if let Some(id) = running {
                 self.cancel_run(id).await;
             }
             return;
@@ -147,7 +155,10 @@
         };
         let ask = CancelRun { id };
         if let Some(addr) = self.roster.daemon(&home) {
-            let _: Result<Done, _> = self.peers.call(addr, "/v1/cancel-run", &ask, CANCEL_MS).await;
+            let _: Result<Done, _> = self
+                .peers
+                .call(addr, "/v1/cancel-run", &ask, CANCEL_MS)
+                .await;
         }
     }
 }
--- a/xtask/src/prove/sessions.rs
+++ b/xtask/src/prove/sessions.rs
@@ -7,7 +7,7 @@
 use crate::cluster::Plan;
 use crate::load::{Caller, Mix, Told};
 use crate::prove::Ctx;
-use crate::prove::scene::{Facts, Scene, pause};
+use crate::prove::scene::{Facts, Scene, ms, pause};
 
 async fn roaming(ctx: Ctx, token: bool) -> Result<Facts, String> {
     let mut scene = Scene::start(ctx, Plan::default()).await?;
@@ -193,6 +193,8 @@
     );
     let took = begin.elapsed();
     let mut facts = scene.finish().await?;
+    facts.tell("told", format!("{told:?} {kept:?}"));
+    facts.tell("took_ms", ms(took));
     facts.expect(cancelled.is_ok(), "the cancel was not taken");
     facts.expect(
         !matches!(told, Told::Answer(_)),
