Hand out a new connection to a daemon only after it has answered on it

Cause: 162 unknown outcomes in the rolling case, all 5 s after a daemon had stopped, when entries tried it again: a gateway accepts connections for a daemon that is gone, so the request was sent and lost. Change: a new connection is greeted first; a failed greeting means that nothing was sent.

--- a/crates/daemon/src/internal.rs
+++ b/crates/daemon/src/internal.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::{Event, emit};
-use peer::{Call, Handler, Served, decode, encode};
+use peer::{Call, HELLO, Handler, Served, decode, encode};
 use schema::{Cancel, CancelRun, Done, Fetch, GroupAsk, GroupStat, GroupView, Stats};
 use serde::Serialize;
 
@@ -32,6 +32,9 @@
 
 impl Daemon {
     async fn handle(self: &Rc<Self>, call: Call) -> Served {
+        if &*call.path == HELLO {
+            return refused(200, "");
+        }
         if &*call.path == "/ready" {
             return if self.is_ready() {
                 refused(200, "ready\n")
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -19,6 +19,8 @@
 
 use crate::server::{decode, encode};
 
+/// Path that every daemon answers at once.
+pub const HELLO: &str = "/hello";
 /// Idle connections kept for one address.
 const IDLE_MAX: usize = 64;
 
@@ -66,22 +68,40 @@
         }
     }
 
-    /// Takes an idle connection or opens one.
+    /// Takes an idle connection to a daemon or opens one.
+    ///
+    /// A new connection is only handed out once the daemon has answered on it: a gateway may
+    /// accept connections for a daemon that is gone, and a request sent there would have an
+    /// unknown outcome.
     ///
     /// # Errors
     /// Fails as `CallError::NotSent` when no connection can be opened in time.
     pub async fn take(&self, addr: SocketAddr) -> Result<Conn, CallError> {
+        if let Some(conn) = self.idle_one(addr) {
+            return Ok(conn);
+        }
+        let mut conn = self.open(addr).await?;
+        let within = u64::try_from(self.connect.as_millis()).unwrap_or(u64::MAX);
+        match conn.send("GET", HELLO, Bytes::new(), within).await {
+            Ok(_) => Ok(conn),
+            Err(e) => Err(CallError::NotSent(e.to_string().into())),
+        }
+    }
+
+    fn idle_one(&self, addr: SocketAddr) -> Option<Conn> {
         loop {
-            let sender = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
-            let Some(sender) = sender else { break };
+            let sender = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop)?;
             if sender.is_ready() {
-                return Ok(Conn {
+                return Some(Conn {
                     addr,
                     sender,
                     token: self.token.clone(),
                 });
             }
         }
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Result<Conn, CallError> {
         let not_sent = |e: &dyn std::fmt::Display| CallError::NotSent(e.to_string().into());
         let open = async {
             let stream = TcpStream::connect_addr(addr).await?;
@@ -143,7 +163,10 @@
         body: Bytes,
         within: u64,
     ) -> Result<Bytes, CallError> {
-        let mut conn = self.take(addr).await?;
+        let mut conn = match self.idle_one(addr) {
+            Some(conn) => conn,
+            None => self.open(addr).await?,
+        };
         let result = conn.send(method, path, body, within).await;
         if matches!(result, Ok(_) | Err(CallError::Status(..))) {
             self.put(conn);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,5 +6,5 @@
 mod client;
 mod server;
 
-pub use client::{CallError, Client, Conn};
+pub use client::{CallError, Client, Conn, HELLO};
 pub use server::{Call, Handler, Served, decode, encode, serve};
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -453,6 +453,11 @@
             .map(|(_, p)| p)
     }
 
+    /// Whether a process has ended by itself, or is not there.
+    pub fn has_ended(&mut self, name: &str) -> bool {
+        self.process(name).is_none_or(Process::has_ended)
+    }
+
     /// Kills a process by its name.
     pub fn kill(&mut self, name: &str) {
         if let Some(process) = self.process(name) {
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -137,17 +137,10 @@
         self.signal(libc::SIGTERM);
     }
 
-    /// Waits for the end of a process that was asked to stop; false when it takes too long.
-    pub fn wait(&mut self, limit: std::time::Duration) -> bool {
-        let until = std::time::Instant::now() + limit;
-        while std::time::Instant::now() < until {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
-                self.ended = true;
-                return true;
-            }
-            std::thread::sleep(std::time::Duration::from_millis(10));
-        }
-        false
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.ended = self.ended || matches!(self.child.try_wait(), Ok(Some(_)));
+        self.ended
     }
 
     /// Kills the process and waits for its end.
--- a/xtask/src/prove/stops.rs
+++ b/xtask/src/prove/stops.rs
@@ -45,12 +45,7 @@
             let process = scene.cluster.process(&name).ok_or("no such daemon")?;
             process.stop();
             let until = std::time::Instant::now() + Duration::from_secs(20);
-            while std::time::Instant::now() < until
-                && !scene
-                    .cluster
-                    .process(&name)
-                    .is_none_or(|p| p.wait(Duration::ZERO))
-            {
+            while std::time::Instant::now() < until && !scene.cluster.has_ended(&name) {
                 pause(20).await;
             }
             stopped += 1;
