--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -85,9 +85,10 @@
             }
             Ok(answer) => {
                 if answer.why == Why::Leaving {
-                    self.roster.shun_stopping(home);
+                    self.avoid_stopping(home);
+                } else {
+                    self.peers.put(conn);
                 }
-                self.peers.put(conn);
                 Tried { answer, hold: None }
             }
             Err(answer) => {
--- a/crates/daemon/src/internal.rs
+++ b/crates/daemon/src/internal.rs
@@ -33,7 +33,7 @@
 impl Daemon {
     async fn handle(self: &Rc<Self>, call: Call) -> Served {
         if &*call.path == HELLO {
-            return refused(200, "");
+            return refused(if self.roster.stopping.get() { 503 } else { 200 }, "");
         }
         if &*call.path == "/ready" {
             return if self.is_ready() {
--- a/crates/daemon/src/relay/spread.rs
+++ b/crates/daemon/src/relay/spread.rs
@@ -16,21 +16,44 @@
 impl Daemon {
     /// Pushes an item to all daemons of this data centre.
     pub(super) fn push_below(self: &Rc<Self>, item: Item) {
-        let mut below = self.roster.daemons(Some(&self.roster.data_center));
-        below.retain(|n| *n != self.roster.me);
-        self.push_branches(&[item], &below);
+        let push = self.push_of(vec![item]);
+        self.push_branches(&push, self.others(Some(&self.roster.data_center)));
     }
 
-    /// Sends items to the head of each branch; a head that cannot be reached is passed over.
-    fn push_branches(self: &Rc<Self>, items: &[Item], below: &[Box<str>]) {
-        for branch in branches(below) {
-            let (daemon, items) = (self.clone(), items.to_vec());
+    /// Tells all daemons that this one is stopping, so that none sends it a request as it ends.
+    pub fn push_stopping(self: &Rc<Self>) {
+        let push = Push {
+            leaving: vec![self.roster.me.clone()],
+            ..self.push_of(Vec::new())
+        };
+        self.push_branches(&push, self.others(None));
+    }
+
+    fn push_of(&self, items: Vec<Item>) -> Push {
+        Push {
+            sender: self.roster.me.clone(),
+            items,
+            leaving: Vec::new(),
+            below: Vec::new(),
+        }
+    }
+
+    fn others(&self, center: Option<&str>) -> Vec<Box<str>> {
+        let mut names = self.roster.daemons(center);
+        names.retain(|n| *n != self.roster.me);
+        names
+    }
+
+    /// Sends a push to the head of each branch; a head that cannot be reached is passed over.
+    fn push_branches(self: &Rc<Self>, push: &Push, below: Vec<Box<str>>) {
+        for branch in branches(&below) {
+            let (daemon, push) = (self.clone(), push.clone());
             monoio::spawn(async move {
                 for at in 0..branch.len() {
                     let push = Push {
                         sender: daemon.roster.me.clone(),
-                        items: items.clone(),
                         below: branch[at + 1..].to_vec(),
+                        ..push.clone()
                     };
                     let Some(addr) = daemon.roster.daemon(&branch[at]) else {
                         continue;
@@ -47,7 +70,10 @@
 
     /// Takes pushed items and passes them on.
     pub async fn take_push(self: &Rc<Self>, push: Push) -> Done {
-        self.push_branches(&push.items, &push.below);
+        self.push_branches(&push, push.below.clone());
+        push.leaving
+            .iter()
+            .for_each(|name| self.avoid_stopping(name));
         let mut missing = Vec::new();
         for item in &push.items {
             if self.take_item(item, false).await == Offer::NeedsWhole {
@@ -64,6 +90,14 @@
         }
     }
 
+    /// Sends nothing more to a daemon that is stopping.
+    pub fn avoid_stopping(&self, name: &str) {
+        self.roster.shun_stopping(name);
+        if let Some(addr) = self.roster.daemon(name) {
+            self.peers.forget(addr);
+        }
+    }
+
     /// Fetches whole objects from a daemon.
     async fn fetch(self: &Rc<Self>, from: &str, names: Vec<Box<str>>) {
         let Some(addr) = self.roster.daemon(from) else {
@@ -141,11 +175,7 @@
             .filter_map(|n| self.holdings.item(n, None))
             .collect();
         if !items.is_empty() {
-            let push = Push {
-                sender: self.roster.me.clone(),
-                items,
-                below: Vec::new(),
-            };
+            let push = self.push_of(items);
             let _: Result<Done, _> = self.peers.call(addr, "/v1/push", &push, CALL_MS).await;
         }
         Some(())
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -137,6 +137,7 @@
         ],
     );
     daemon.roster.stopping.set(true);
+    daemon.push_stopping();
     sleep(daemon.settings.timing.drain_ms).await;
     daemon.closing.set(true);
     let until = Ms::now().plus(daemon.settings.timing.drain_ms);
--- /dev/null
+++ b/crates/fleet/tests/fleet.rs
@@ -0,0 +1,126 @@
+//! Ranking, the tree, configuration versions and patches.
+
+use std::collections::BTreeSet;
+
+use fleet::{FAN_OUT, Holdings, Offer, branches, delta, next_version, ranked};
+use quickcheck::{TestResult, quickcheck};
+use schema::Item;
+use serde_json::{Value, json};
+
+fn object(version: u64, callers: u64) -> Value {
+    json!({"name": "lakeshore", "version": version, "callers": callers, "users": [], "groups": [], "services": []})
+}
+
+fn item(version: u64, callers: u64) -> Item {
+    Item {
+        name: "lakeshore".into(),
+        version,
+        from: 0,
+        text: object(version, callers).to_string().into(),
+    }
+}
+
+fn check(holdings: &Holdings, item: &Item, expect: &Offer) {
+    assert_eq!(holdings.offer(item), *expect, "version {}", item.version);
+}
+
+#[test]
+fn versions_never_fall() {
+    let holdings = Holdings::default();
+    check(&holdings, &item(3, 10), &Offer::Taken);
+    check(&holdings, &item(3, 10), &Offer::Same);
+    check(&holdings, &item(2, 99), &Offer::Older);
+    assert_eq!(holdings.institution("lakeshore").expect("held").callers, 10);
+    let change = delta(&object(3, 10), &object(4, 20));
+    let small = Item {
+        from: 3,
+        version: 4,
+        text: change.clone(),
+        ..item(4, 0)
+    };
+    check(&holdings, &small, &Offer::Taken);
+    assert_eq!(holdings.institution("lakeshore").expect("held").callers, 20);
+    let far = Item {
+        from: 7,
+        version: 8,
+        text: change,
+        ..item(8, 0)
+    };
+    check(&holdings, &far, &Offer::NeedsWhole);
+}
+
+#[test]
+fn invalid_objects_leave_the_old_one_in_force() {
+    let holdings = Holdings::default();
+    check(&holdings, &item(1, 10), &Offer::Taken);
+    let invalid = |text: &str| Item {
+        text: text.into(),
+        ..item(2, 0)
+    };
+    for text in [
+        "{",
+        "{\"name\": \"lakeshore\"}",
+        &object(5, 10).to_string(),
+        &object(2, 0).to_string(),
+    ] {
+        assert!(
+            matches!(holdings.offer(&invalid(text)), Offer::Invalid(_)),
+            "{text}"
+        );
+    }
+    assert_eq!(holdings.institution("lakeshore").expect("held").version, 1);
+}
+
+#[test]
+fn a_patch_makes_the_next_version_and_is_remembered() {
+    let first = next_version(None, "one", &object(0, 5).to_string()).expect("it is valid");
+    let text = json!([{"op": "replace", "path": "/callers", "value": 6}]).to_string();
+    let second = next_version(Some(&first), "two", &text).expect("it is valid");
+    assert_eq!((second.version, second.callers), (2, 6));
+    assert_eq!(
+        second.recent.iter().map(|n| &*n.id).collect::<Vec<_>>(),
+        ["one", "two"]
+    );
+    let rename = json!([{"op": "replace", "path": "/name", "value": "other"}]).to_string();
+    assert!(next_version(Some(&first), "three", &rename).is_err());
+    let unknown = json!([{"op": "add", "path": "/colour", "value": 1}]).to_string();
+    assert!(next_version(Some(&first), "four", &unknown).is_err());
+}
+
+fn names(count: usize) -> Vec<Box<str>> {
+    (0..count).map(|i| format!("d{i}").into()).collect()
+}
+
+/// Everyone below, by passing on as the tree says.
+fn reached(below: &[Box<str>]) -> Vec<Box<str>> {
+    let pass = |branch: Vec<Box<str>>| {
+        let mut all = vec![branch[0].clone()];
+        all.extend(reached(&branch[1..]));
+        all
+    };
+    branches(below).into_iter().flat_map(pass).collect()
+}
+
+quickcheck! {
+    /// The tree reaches everyone once, and nobody sends to more than the fan-out.
+    fn the_tree_reaches_everyone_once(count: u8) -> bool {
+        let all = names(usize::from(count));
+        let got = reached(&all);
+        let set: BTreeSet<_> = got.iter().collect();
+        got.len() == all.len() && set.len() == all.len() && branches(&all).len() <= FAN_OUT
+    }
+
+    /// When a name goes, only its own work moves.
+    fn ranking_moves_little(count: u8, key: u64) -> TestResult {
+        if count < 3 {
+            return TestResult::discard();
+        }
+        let all = names(usize::from(count));
+        let key = key.to_string();
+        let before = ranked(&key, all.iter().map(|n| &**n));
+        let gone = before[1];
+        let after = ranked(&key, all.iter().map(|n| &**n).filter(|n| *n != gone));
+        let rest: Vec<&str> = before.into_iter().filter(|n| *n != gone).collect();
+        TestResult::from_bool(rest == after)
+    }
+}
--- /dev/null
+++ b/crates/group/tests/rules.rs
@@ -0,0 +1,129 @@
+//! The rules one by one, and their properties.
+
+use base::Ms;
+use group::{MemberReport, Seen, Silence, Verdict, confirmed, judge, verified, winner};
+use quickcheck::{TestResult, quickcheck};
+use schema::Pos;
+
+fn report(term: u64, leads: bool, last: (u64, u64), contact_ms: u64) -> MemberReport {
+    MemberReport {
+        term,
+        leads,
+        last: Pos {
+            term: last.0,
+            log: last.1,
+        },
+        contact_ms,
+        granted: true,
+        follows: "".into(),
+        asked: Ms(100),
+    }
+}
+
+const SILENCE: Silence = Silence {
+    refused_ms: 120,
+    silent_ms: 800,
+    cut_ms: 1600,
+};
+
+fn check(seen: &[Seen], expect: Verdict) {
+    assert_eq!(judge(seen, SILENCE), expect, "{seen:?}");
+}
+
+#[test]
+fn evidence() {
+    let lost = |ms| Seen::Report(report(1, false, (1, 5), ms));
+    let leads = Seen::Report(report(1, true, (1, 5), 0));
+    let few = Verdict::Keep("too few members have lost the primary for long enough");
+    check(
+        &[Seen::Refused, lost(130), lost(130)],
+        Verdict::Change("the primary refuses connections"),
+    );
+    check(&[Seen::Silent, lost(130), lost(130)], few);
+    check(
+        &[Seen::Silent, lost(900), lost(900)],
+        Verdict::Change("the primary does not answer"),
+    );
+    check(&[Seen::Silent, lost(900), lost(10)], few);
+    check(&[leads.clone(), lost(900), lost(900)], few);
+    check(
+        &[leads.clone(), lost(1700), lost(1700)],
+        Verdict::Change("the primary answers but its replicas do not hear it"),
+    );
+    check(
+        &[Seen::Refused, Seen::Refused, lost(9000)],
+        Verdict::Keep("fewer than a majority of members report"),
+    );
+    check(
+        &[Seen::Silent, Seen::Silent, Seen::Silent],
+        Verdict::Keep("no member reports"),
+    );
+}
+
+#[test]
+fn a_majority_needs_the_writes_own_term() {
+    let pos = Pos { term: 2, log: 7 };
+    let own = report(2, true, (2, 9), 0);
+    let check = |other: MemberReport, expect: bool| {
+        assert_eq!(
+            confirmed(pos, 2, [own.clone(), other.clone()].iter(), 3),
+            expect,
+            "{other:?}"
+        );
+    };
+    check(report(2, false, (2, 7), 0), true);
+    check(report(2, false, (2, 6), 0), false);
+    // It holds the entry but has granted a later term, whose majority may not hold it.
+    check(report(3, false, (2, 7), 0), false);
+    // It is further by number, in another history.
+    check(report(2, false, (1, 50), 0), false);
+}
+
+#[test]
+fn the_most_advanced_member_wins() {
+    let check = |lasts: [Option<(u64, u64)>; 3], stays: [bool; 3], expect: Option<usize>| {
+        let grants = lasts.map(|l| l.map(|last| report(4, false, last, 0)));
+        assert_eq!(winner(&grants, |i| stays[i]), expect, "{lasts:?}");
+    };
+    check([None, Some((1, 9)), Some((2, 3))], [true; 3], Some(2));
+    check([None, Some((2, 4)), Some((2, 3))], [true; 3], Some(1));
+    check([None, None, Some((2, 3))], [true; 3], None);
+    check(
+        [Some((2, 3)), Some((2, 3)), None],
+        [false, true, true],
+        Some(1),
+    );
+    // A member that leaves still wins when it alone holds the newest entry.
+    check(
+        [Some((2, 4)), Some((2, 3)), None],
+        [false, true, true],
+        Some(0),
+    );
+}
+
+quickcheck! {
+    /// More reports never take a confirmation back, and a confirmed write is verified as well.
+    fn confirmation_grows(terms: Vec<(u8, u8, u8)>) -> TestResult {
+        if terms.len() < 2 {
+            return TestResult::discard();
+        }
+        let reports: Vec<MemberReport> =
+            terms.iter().map(|(t, lt, l)| report(u64::from(*t % 3), false, (u64::from(*lt % 3), u64::from(*l)), 0)).collect();
+        let pos = Pos { term: 1, log: 3 };
+        let part = confirmed(pos, 1, reports[1..].iter(), 3);
+        let whole = confirmed(pos, 1, reports.iter(), 3);
+        let sure = !whole || verified(1, Ms(100), reports.iter(), 3);
+        TestResult::from_bool((!part || whole) && sure)
+    }
+
+    /// The winner holds whatever a majority holds at the highest position.
+    fn the_winner_is_never_behind(lasts: Vec<(u8, u8)>) -> TestResult {
+        if lasts.len() != 3 {
+            return TestResult::discard();
+        }
+        let grants: Vec<_> = lasts.iter().map(|(t, l)| Some(report(9, false, (u64::from(*t), u64::from(*l)), 0))).collect();
+        let best = winner(&grants, |_| true).expect("all granted");
+        let last = |i: usize| grants[i].as_ref().map(|r| r.last);
+        TestResult::from_bool((0..3).all(|i| last(i) <= last(best)))
+    }
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
     /// One call with MessagePack bodies on any connection.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/schema/tests/rules.rs
@@ -0,0 +1,77 @@
+//! Rules of a service, positions and merged counts.
+
+use quickcheck::quickcheck;
+use schema::{Bucket, Hist, Kind, Pos, Rule, Service};
+
+fn service() -> Service {
+    let rule = |name: &str, starts: &str, kind: Kind| Rule {
+        name: name.into(),
+        starts: starts.into(),
+        kind,
+        max_age_ms: None,
+        repeat: false,
+    };
+    Service {
+        name: "slots".into(),
+        group: "slots".into(),
+        deadline_ms: 5000,
+        rules: vec![
+            rule("list", "select v from catalogue", Kind::Read),
+            rule("book", "INSERT INTO bookings", Kind::Write),
+        ],
+    }
+}
+
+fn check(sql: &str, expect: Option<&str>) {
+    assert_eq!(service().rule(sql).map(|r| &*r.name), expect, "{sql}");
+}
+
+#[test]
+fn rules_match_first_words() {
+    check("SELECT  v\nFROM catalogue WHERE k = 'x'", Some("list"));
+    check(
+        "/* hollyreach.key=a */ insert into bookings (k) values ('a');",
+        Some("book"),
+    );
+    check("SELECT v FROM catalogues", None);
+    check("SELECT v FROM catalogue; DROP TABLE catalogue", None);
+    check("select v from catalogue where k = 'a;b'", None);
+    check("", None);
+}
+
+fn hist(values: &[u8]) -> Hist {
+    let mut out = Hist { counts: Vec::new() };
+    for v in values {
+        out.merge(&Hist {
+            counts: vec![Bucket {
+                upto_us: u64::from(*v),
+                count: 1,
+            }],
+        });
+    }
+    out
+}
+
+quickcheck! {
+    /// Text and back.
+    fn positions_read_back(term: u64, log: u64) -> bool {
+        let pos = Pos { term, log };
+        Pos::parse(&pos.to_string()) == Some(pos)
+    }
+
+    /// Merging is the same in any order, and loses nothing.
+    fn histograms_merge(a: Vec<u8>, b: Vec<u8>) -> bool {
+        let (mut ab, mut ba) = (hist(&a), hist(&b));
+        ab.merge(&hist(&b));
+        ba.merge(&hist(&a));
+        ab == ba && ab.total() == (a.len() + b.len()) as u64
+    }
+
+    /// A quantile is a value that so many others do not exceed.
+    fn quantiles_are_values(values: Vec<u8>) -> bool {
+        let merged = hist(&values);
+        let mut sorted = values;
+        sorted.sort_unstable();
+        sorted.is_empty() || merged.quantile(100.0) == u64::from(sorted[sorted.len() - 1])
+    }
+}
--- /dev/null
+++ b/crates/schema/tests/settings.rs
@@ -0,0 +1,88 @@
+//! Settings files and what is said of faulty ones.
+
+use expect_test::{Expect, expect};
+use schema::load_settings;
+
+const GOOD: &str = "name: entry-11
+data_center: dc1
+listen: 127.0.0.1:6432
+internal: 127.0.0.1:7432
+platform: 127.0.0.1:8000
+secret: 0123456789abcdef
+";
+
+/// Checks what is said of the good file with lines added or replaced.
+fn check(name: &str, text: &str, expect: &Expect) {
+    let path = std::env::temp_dir().join(format!(
+        "hollyreach-settings-{}-{name}.yaml",
+        std::process::id()
+    ));
+    std::fs::write(&path, text).expect("a temporary file can be written");
+    let file = path.display().to_string();
+    let told = match load_settings(&file) {
+        Ok(settings) => format!("ok: {}", settings.name),
+        Err(e) => e.to_string().replace(&file, "FILE"),
+    };
+    std::fs::remove_file(&path).expect("the file is there");
+    expect.assert_eq(&told);
+}
+
+#[test]
+fn accepts_the_smallest_file() {
+    check("good", GOOD, &expect!["ok: entry-11"]);
+}
+
+#[test]
+fn refuses_unknown_keys() {
+    let text = format!("{GOOD}timings: {{}}\n");
+    check(
+        "unknown",
+        &text,
+        &expect![
+            "FILE:7:1: unknown field `timings`, expected one of `name`, `data_center`, `listen`, `internal`, `platform`, `secret`, `seeds`, `address_map`, `statsd`, `tls`, `limits`, `timing` at line 7 column 1"
+        ],
+    );
+}
+
+#[test]
+fn refuses_wrong_units() {
+    let text = format!("{GOOD}timing:\n  suspect_ms: 1s\n");
+    check(
+        "unit",
+        &text,
+        &expect![[
+            r#"FILE:8:15: timing.suspect_ms: invalid type: string "1s", expected u64 at line 8 column 15"#
+        ]],
+    );
+}
+
+#[test]
+fn refuses_values_out_of_range() {
+    let text = format!("{GOOD}limits:\n  homes: 0\ntiming:\n  suspect_ms: 50\n");
+    check(
+        "range",
+        &text,
+        &expect![[r"
+        FILE:8: limits.homes: is 0, expected 1 to 8 daemons
+        FILE:10: timing.suspect_ms: is 50, expected 200 to 5000 ms
+        FILE: timing.refused_ms: expected less than suspect_ms"]],
+    );
+}
+
+#[test]
+fn refuses_contradictions_and_names_that_stand_twice() {
+    let seed = "  - {name: a, data_center: d, addr: \"127.0.0.1:1\"}\n";
+    let text = format!(
+        "{}secret: short\nseeds:\n{seed}{seed}",
+        GOOD.replace("secret: 0123456789abcdef\n", "")
+    )
+    .replace("internal: 127.0.0.1:7432", "internal: 127.0.0.1:6432");
+    check(
+        "twice",
+        &text,
+        &expect![[r#"
+        FILE:7: seeds[1].name: "a" stands twice
+        FILE:4: internal: is the same as listen, expected another address
+        FILE:6: secret: expected 16 characters at least"#]],
+    );
+}
