Do not end a session between preparing and executing

Cause: 1 or 2 cut requests in the rolling case with no trace in the daemons: a client library prepares and executes in two batches, and a stopping daemon closed between them. Change: a stopping daemon closes only after a batch that executed something.

--- a/crates/daemon/src/entry/session.rs
+++ b/crates/daemon/src/entry/session.rs
@@ -75,6 +75,8 @@
         loop {
             let why = match self.next(&mut caller).await {
                 Ok(Some(request)) => {
+                    // After a batch that only prepares, the caller is about to execute.
+                    let whole = !request.texts.is_empty();
                     let out = self.answer(&mut caller, request).await;
                     let Some(mut out) = out else { return };
                     let last =
