--- a/crates/daemon/src/entry/session.rs
+++ b/crates/daemon/src/entry/session.rs
@@ -79,8 +79,7 @@
                     let whole = !request.texts.is_empty();
                     let out = self.answer(&mut caller, request).await;
                     let Some(mut out) = out else { return };
-                    let last =
-                        self.daemon.closing.get() && self.status == b'I' && !caller.has_input();
+                    let last = whole && self.daemon.closing.get() && self.status == b'I' && !caller.has_input();
                     if last {
                         out.extend_from_slice(&error_frame(Why::Leaving, 0, ""));
                     }
