--- a/crates/hollyreach/src/status.rs
+++ b/crates/hollyreach/src/status.rs
@@ -1,5 +1,7 @@
 //! The `status` and `report` commands.
 
+use std::collections::BTreeSet;
+
 use crate::args::Target;
 use crate::finish;
 use crate::operator::{Fleet, block_on};
@@ -46,6 +48,44 @@
 }
 
 /// Makes the burn report.
-pub fn burn(_to: &Target, _html: Option<&str>, _svg: Option<&str>) -> i32 {
-    finish(Err("not built yet".to_owned()))
+pub fn burn(to: &Target, html: Option<&str>, svg: Option<&str>) -> i32 {
+    finish(block_on(async {
+        let fleet = Fleet::open(to)?;
+        let heard = fleet.hear_all().await?;
+        let mut institutions = Vec::new();
+        let names: BTreeSet<_> = heard
+            .stats
+            .iter()
+            .flat_map(|s| &s.versions)
+            .map(|k| k.name.clone())
+            .collect();
+        for name in names.iter().filter(|n| !n.starts_with('@')) {
+            let value = fleet.object(name).await?.unwrap_or_default();
+            institutions.push(serde_json::from_value(value).map_err(|e| e.to_string())?);
+        }
+        let silent = heard.silent.into_iter().map(|(n, _)| n).collect();
+        let burn = report::make(&report::Input {
+            stats: heard.stats,
+            silent,
+            institutions,
+        });
+        let write = |file: &str, text: String| {
+            std::fs::write(file, text).map_err(|e| format!("{file}: {e}"))
+        };
+        if let Some(file) = html {
+            write(file, report::html(&burn))?;
+        }
+        if let Some(file) = svg {
+            write(file, report::svg(&burn)?)?;
+        }
+        if to.json {
+            println!(
+                "{}",
+                serde_json::to_string(&burn).map_err(|e| e.to_string())?
+            );
+        } else {
+            print!("{}", report::text(&burn));
+        }
+        Ok(())
+    }))
 }
--- /dev/null
+++ b/crates/report/src/text.rs
@@ -0,0 +1,128 @@
+//! The report as text and as a page.
+
+use std::fmt::Write;
+
+use schema::Change;
+
+use crate::burn::Burn;
+use crate::plot::svg;
+
+/// What an operator has to do about a burn, by its height over the short windows.
+fn alarm(burn: [f64; 3]) -> &'static str {
+    match burn {
+        [a, b, _] if a > 14.0 && b > 14.0 => "PAGE",
+        [_, b, c] if b > 6.0 || c > 3.0 => "ticket",
+        [.., c] if c > 1.0 => "overdrawn",
+        _ => "ok",
+    }
+}
+
+fn change_line(c: &Change) -> String {
+    let kind = if c.planned { "planned" } else { "failover" };
+    let gap = c.silent_ms + c.check_ms + c.grant_ms + c.promote_ms;
+    format!(
+        "{} {kind} to term {}, primary {}: {} ms = silent {} + check {} + grant {} + promote {}; {}; by {}",
+        c.group,
+        c.term,
+        c.winner,
+        gap,
+        c.silent_ms,
+        c.check_ms,
+        c.grant_ms,
+        c.promote_ms,
+        c.evidence,
+        c.warden
+    )
+}
+
+/// The report as text, the worst first.
+pub fn text(burn: &Burn) -> String {
+    let mut out = String::new();
+    if burn.silent.is_empty() {
+        let _ = writeln!(out, "all {} daemons heard", burn.heard);
+    } else {
+        let _ = writeln!(
+            out,
+            "NOT HEARD: {} ({} daemons heard; counts of the others are missing)",
+            burn.silent.join(" "),
+            burn.heard
+        );
+    }
+    let _ = writeln!(
+        out,
+        "\n{:<10}{:<14}{:<12}{:>9}{:>9}{:>10}{:>9}{:>9}{:>9}{:>13}",
+        "alarm",
+        "institution",
+        "objective",
+        "target",
+        "good",
+        "requests",
+        "5 min",
+        "1 h",
+        "24 h",
+        "budget left"
+    );
+    for l in &burn.lines {
+        let _ = writeln!(
+            out,
+            "{:<10}{:<14}{:<12}{:>8.2}%{:>8.2}%{:>10}{:>9.2}{:>9.2}{:>9.2}{:>12.1}%",
+            alarm(l.burn),
+            l.institution,
+            l.objective,
+            l.target,
+            l.good,
+            l.count,
+            l.burn[0],
+            l.burn[1],
+            l.burn[2],
+            l.budget_left
+        );
+    }
+    let _ = writeln!(out, "\nlatency of answers");
+    for (name, (p50, p99, count)) in &burn.latency {
+        let ms = |us: u64| format!("{}.{:03} ms", us / 1000, us % 1000);
+        let _ = writeln!(
+            out,
+            "  {name}: p50 {}, p99 {}, {count} answers",
+            ms(*p50),
+            ms(*p99)
+        );
+    }
+    let _ = writeln!(out, "\nreads");
+    for r in &burn.reads {
+        let _ = writeln!(
+            out,
+            "  {}: {:.1}% on replicas",
+            r.institution, r.replica_percent
+        );
+        for (place, count) in &r.places {
+            let _ = writeln!(out, "    {count:>10}  {place}");
+        }
+    }
+    let _ = writeln!(out, "\nchanges of primary, newest first");
+    for c in &burn.changes {
+        let _ = writeln!(out, "  {}", change_line(c));
+        for step in &c.steps {
+            let _ = writeln!(out, "      {step}");
+        }
+    }
+    if burn.changes.is_empty() {
+        let _ = writeln!(out, "  none");
+    }
+    out
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
+
+/// The report as one page with its plot.
+pub fn html(burn: &Burn) -> String {
+    format!(
+        "<!doctype html><meta charset=\"utf-8\"><title>Service-level burn</title>\n<body style=\"font-family:sans-serif\"><h1>Service-level burn</h1>\n{}\n<pre>{}</pre></body>\n",
+        svg(burn).unwrap_or_default(),
+        escape(&text(burn))
+    )
+}
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -14,6 +14,7 @@
     pub seconds: u64,
     pub json: bool,
     pub keep: bool,
+    pub report: Option<String>,
 }
 
 /// Callers of each service.
@@ -131,6 +132,11 @@
     killed: Instant,
     options: &Options,
 ) -> Result<Value, String> {
+    if let Some(file) = &options.report {
+        let config = cluster.operator_file()?;
+        let (_, text) = cluster.operate(&["report", "--config", &config, "burn", "--svg", file])?;
+        println!("{text}");
+    }
     let share = cluster.replica_share()?;
     let mut total = Audit::default();
     let mut gap = Duration::ZERO;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -34,11 +34,16 @@
     let json = long("json").help("print a last line of JSON").switch();
     let seed = seed();
     let keep = long("keep").help("keep the logs").switch();
+    let report = long("report")
+        .help("print the burn report and write its plot to FILE")
+        .argument::<String>("FILE")
+        .optional();
     let options = construct!(demo::Options {
         seed,
         seconds,
         json,
-        keep
+        keep,
+        report
     });
     let demo = construct!(Chore::Demo(options))
         .to_options()
