--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -10,7 +10,7 @@
 mod login;
 mod upstream;
 
-pub use batch::Collector;
+pub use batch::{Collector, Progress, encode};
 pub use caller::{Caller, Greeting, error_frame, read_parse};
 pub use frame::{Frame, FrameError, frames, put_frame};
 pub use io::{Io, Link};
--- /dev/null
+++ b/crates/pg/tests/frames.rs
@@ -0,0 +1,56 @@
+//! The message boundary: whatever bytes come, frames are whole or refused.
+
+use bytes::BytesMut;
+use pg::{Frame, FrameError, frames, put_frame};
+use quickcheck::quickcheck;
+
+fn check(bytes: &[u8], limit: usize, expect: Result<Option<u8>, FrameError>) {
+    let mut input = BytesMut::from(bytes);
+    assert_eq!(
+        Frame::take(&mut input, limit).map(|f| f.map(|f| f.tag)),
+        expect,
+        "{bytes:?}"
+    );
+}
+
+#[test]
+fn frames_are_whole_or_refused() {
+    check(b"", 100, Ok(None));
+    check(b"Q\0\0\0", 100, Ok(None));
+    check(b"Q\0\0\0\x05", 100, Ok(None));
+    check(b"Q\0\0\0\x05\0", 100, Ok(Some(b'Q')));
+    check(b"Q\0\0\0\x03", 100, Err(FrameError::Malformed));
+    check(b"Q\0\0\0\x65", 100, Err(FrameError::TooLarge));
+    check(b"Q\xff\xff\xff\xff", 100, Err(FrameError::TooLarge));
+}
+
+quickcheck! {
+    /// Taking frames from any bytes ends, and takes no byte twice.
+    fn any_bytes_are_survived(bytes: Vec<u8>) -> bool {
+        let mut input = BytesMut::from(bytes.as_slice());
+        let mut taken = 0;
+        while let Ok(Some(frame)) = Frame::take(&mut input, 1000) {
+            taken += frame.raw.len();
+        }
+        taken + input.len() == bytes.len()
+    }
+
+    /// Frames read back as they were put, however the bytes are cut.
+    fn frames_read_back(bodies: Vec<Vec<u8>>, cut: usize) -> bool {
+        let mut all = BytesMut::new();
+        for body in &bodies {
+            put_frame(&mut all, b'D', body);
+        }
+        let cut = if all.is_empty() { 0 } else { cut % all.len() };
+        let mut input = BytesMut::from(&all[..cut]);
+        let mut got = Vec::new();
+        while let Ok(Some(frame)) = Frame::take(&mut input, usize::MAX) {
+            got.push(frame.body().to_vec());
+        }
+        input.extend_from_slice(&all[cut..]);
+        while let Ok(Some(frame)) = Frame::take(&mut input, usize::MAX) {
+            got.push(frame.body().to_vec());
+        }
+        got == bodies && frames(&all).len() == bodies.len()
+    }
+}
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -109,6 +109,11 @@
 }
 
 impl Process {
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to this process alone.
     pub fn signal(&self, signal: i32) {
         if self.ended {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod codegen;
 mod demo;
 mod load;
+mod measure;
 mod prove;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
@@ -12,6 +13,7 @@
     Codegen { check: bool },
     Demo(demo::Options),
     Prove(prove::Options),
+    Measure(measure::What),
 }
 
 fn seed() -> impl Parser<u64> {
@@ -69,7 +71,19 @@
         .to_options()
         .descr("Bring failures about and check what must hold")
         .command("prove");
-    construct!([codegen, demo, prove]).to_options()
+    let what = positional::<String>("WHAT")
+        .help("path, capacity or writes")
+        .parse(|text| match text.as_str() {
+            "path" => Ok(measure::What::Path),
+            "capacity" => Ok(measure::What::Capacity),
+            "writes" => Ok(measure::What::Writes),
+            _ => Err("expected path, capacity or writes"),
+        });
+    let measure = construct!(Chore::Measure(what))
+        .to_options()
+        .descr("Measure and print a table")
+        .command("measure");
+    construct!([codegen, demo, prove, measure]).to_options()
 }
 
 fn main() {
@@ -77,6 +91,7 @@
         Chore::Codegen { check } => codegen_chore(check),
         Chore::Demo(options) => demo::demo(&options),
         Chore::Prove(options) => prove::prove(&options),
+        Chore::Measure(what) => measure::measure(&what),
     };
     if let Err(text) = result {
         eprintln!("xtask: {text}");
--- /dev/null
+++ b/xtask/src/measure/capacity.rs
@@ -0,0 +1,179 @@
+//! Slopes: what control costs a daemon as the fleet, the groups and the changes grow.
+
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::cluster::{Cluster, Plan, lakeshore};
+use crate::measure::path::commit;
+use crate::measure::proc::{bytes, cpu_us, memory};
+
+/// Daemons in each data centre.
+const SIZES: [u8; 3] = [3, 10, 33];
+/// Groups of a fleet with three daemons in each data centre.
+const GROUPS: [usize; 3] = [1, 6, 18];
+/// Time that an idle fleet is watched.
+const WATCHED: Duration = Duration::from_secs(10);
+/// Changes of configuration in each series.
+const CHANGES: u64 = 20;
+
+/// Mean use of the daemons over a span.
+struct Use {
+    cpu_us: f64,
+    bytes: f64,
+    memory: u64,
+}
+
+/// Runs all series and prints them.
+pub async fn run() -> Result<(), String> {
+    println!("commit {}", commit());
+    println!("\nan idle fleet with one group, by daemons");
+    for size in SIZES {
+        let mut cluster = fleet(size, 1)?;
+        let idle = watch(&mut cluster, WATCHED).await;
+        print_use(&format!("{} daemons", 3 * u32::from(size)), &idle, &cluster)?;
+        spread(&mut cluster).await?;
+    }
+    println!("\nan idle fleet of 9 daemons, by groups of three members");
+    for groups in GROUPS {
+        let mut cluster = fleet(3, groups)?;
+        let idle = watch(&mut cluster, WATCHED).await;
+        print_use(&format!("{groups} groups"), &idle, &cluster)?;
+    }
+    Ok(())
+}
+
+fn fleet(daemons: u8, groups: usize) -> Result<Cluster, String> {
+    let mut deployment = lakeshore();
+    let first = deployment.groups[0].clone();
+    deployment.groups = (0..groups)
+        .map(|i| {
+            let mut group = first.clone();
+            group.name = format!("g{i:02}x");
+            group.first = i % 3;
+            group
+        })
+        .collect();
+    Cluster::start(
+        Plan {
+            daemons,
+            delay_us: 0,
+            ..Plan::default()
+        },
+        vec![deployment],
+    )
+}
+
+#[allow(clippy::cast_precision_loss)]
+async fn watch(cluster: &mut Cluster, span: Duration) -> Use {
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let names = cluster.daemons();
+    let pids: Vec<u32> = names
+        .iter()
+        .filter_map(|n| cluster.process(n).map(|p| p.id()))
+        .collect();
+    let total = |f: fn(u32) -> u64| pids.iter().map(|p| f(*p)).sum::<u64>();
+    let (cpu, io, begin) = (total(cpu_us), total(bytes), Instant::now());
+    tokio::time::sleep(span).await;
+    let seconds = begin.elapsed().as_secs_f64() * pids.len() as f64;
+    Use {
+        cpu_us: (total(cpu_us) - cpu) as f64 / seconds,
+        bytes: (total(bytes) - io) as f64 / seconds,
+        memory: total(memory) / pids.len() as u64,
+    }
+}
+
+fn print_use(name: &str, idle: &Use, cluster: &Cluster) -> Result<(), String> {
+    let before = cluster.admin(&json!({}))?;
+    std::thread::sleep(Duration::from_secs(2));
+    let after = cluster.admin(&json!({}))?;
+    let reads = after["reads"].as_u64().unwrap_or(0) - before["reads"].as_u64().unwrap_or(0);
+    println!(
+        "{name:<14} {:>7.0} µs/s of processor time, {:>7.0} bytes/s read and written, {:>6} KiB resident, a daemon; {:>5.1} reads/s at the platform",
+        idle.cpu_us,
+        idle.bytes,
+        idle.memory / 1024,
+        f64::from(u32::try_from(reads).unwrap_or(0)) / 2.0
+    );
+    Ok(())
+}
+
+/// Submits changes one after another, and measures the time until the last daemon has each.
+#[allow(clippy::cast_precision_loss)]
+async fn spread(cluster: &mut Cluster) -> Result<(), String> {
+    let names = cluster.daemons();
+    let pids: Vec<u32> = names
+        .iter()
+        .filter_map(|n| cluster.process(n).map(|p| p.id()))
+        .collect();
+    let total = |f: fn(u32) -> u64| pids.iter().map(|p| f(*p)).sum::<u64>();
+    let (cpu, io) = (total(cpu_us), total(bytes));
+    let begin = Instant::now();
+    for version in 1..=CHANGES {
+        patch(cluster, version)?;
+    }
+    let submitted = begin.elapsed();
+    let last = wait_for(cluster, CHANGES + 1, names.len()).await?;
+    let (cpu, io) = (total(cpu_us) - cpu, total(bytes) - io);
+    let each = (pids.len() as u64 * CHANGES) as f64;
+    println!(
+        "               {CHANGES} changes in {} ms, the last in force everywhere after {} ms more; {:.0} bytes and {:.0} µs a daemon and change, idle use included",
+        submitted.as_millis(),
+        last.as_millis(),
+        io as f64 / each,
+        cpu as f64 / each
+    );
+    Ok(())
+}
+
+fn patch(cluster: &Cluster, version: u64) -> Result<(), String> {
+    use std::io::Write;
+    let text = json!([{ "op": "replace", "path": "/callers", "value": 100 + version }]).to_string();
+    let mut child = Command::new(cluster.binary())
+        .args([
+            "config",
+            "--config",
+            &cluster.settings_file("entry-11"),
+            "patch",
+            "--version",
+            &version.to_string(),
+            "lakeshore",
+            "-",
+        ])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()
+        .map_err(|e| e.to_string())?;
+    child
+        .stdin
+        .take()
+        .ok_or("no input")?
+        .write_all(text.as_bytes())
+        .map_err(|e| e.to_string())?;
+    let status = child.wait().map_err(|e| e.to_string())?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(format!("the patch of version {version} was refused"))
+    }
+}
+
+/// Time until so many daemons say in their logs that a version is in force.
+async fn wait_for(cluster: &Cluster, version: u64, daemons: usize) -> Result<Duration, String> {
+    let begin = Instant::now();
+    let line = format!("H500 configuration in force name=lakeshore version={version}");
+    while begin.elapsed() < Duration::from_secs(20) {
+        let held = cluster.daemons().into_iter().filter(|d| {
+            let log = std::fs::read_to_string(cluster.folder().join(format!("{d}.out")));
+            log.is_ok_and(|text| text.contains(&line))
+        });
+        if held.count() == daemons {
+            return Ok(begin.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    Err(format!(
+        "version {version} is not in force everywhere after 20 s"
+    ))
+}
--- /dev/null
+++ b/xtask/src/measure/path.rs
@@ -0,0 +1,197 @@
+//! Statements through one daemon, with and without a hop, and straight to the stand-in.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::cluster::{Cluster, Plan};
+use crate::load::{Caller, LATENCY_MAX, Told};
+use crate::measure::proc::{cpu_us, memory};
+use crate::prove::one_group;
+
+/// Statements of each series.
+const STATEMENTS: u32 = 4000;
+/// Callers of the throughput series, and its time.
+const CALLERS: usize = 16;
+const SPAN: Duration = Duration::from_secs(4);
+/// Idle connections of the memory series.
+const IDLE: [usize; 2] = [1000, 3000];
+
+const LIST: &str = "SELECT v FROM catalogue WHERE k = 'all'";
+
+/// Runs all series and prints them.
+pub async fn run() -> Result<(), String> {
+    let plan = Plan {
+        delay_us: 0,
+        work_us: 0,
+        ..Plan::default()
+    };
+    let mut deployment = one_group();
+    deployment.groups[0].connections = 40;
+    deployment.groups[0].slots = 16;
+    let mut cluster = Cluster::start(plan, vec![deployment])?;
+    let members = cluster.group_members("lakeshore", "slots");
+    println!("commit {}", commit());
+    let straight = latency(&members[1].addr).await?;
+    let local = home_of(&mut cluster, 2).await?;
+    let near = latency(&cluster.caller_addr(&local)).await?;
+    let other = cluster
+        .daemons()
+        .into_iter()
+        .find(|d| d.contains("-2") && *d != local && !is_home(&cluster, d))
+        .unwrap_or_else(|| "entry-11".to_owned());
+    let hop = latency(&cluster.caller_addr(&other)).await?;
+    for (name, h) in [
+        ("straight to the member", &straight),
+        ("through a daemon, no hop", &near),
+        ("through a daemon, one hop", &hop),
+    ] {
+        println!(
+            "{name:<28} p50 {:>6} µs   p99 {:>6} µs",
+            h.value_at_quantile(0.5),
+            h.value_at_quantile(0.99)
+        );
+    }
+    println!(
+        "added at p50: {} µs without a hop, {} µs with one",
+        near.value_at_quantile(0.5)
+            .saturating_sub(straight.value_at_quantile(0.5)),
+        hop.value_at_quantile(0.5)
+            .saturating_sub(straight.value_at_quantile(0.5))
+    );
+    throughput(
+        &mut cluster,
+        "straight to the member",
+        &members[1].addr,
+        None,
+    )
+    .await?;
+    let addr = cluster.caller_addr(&local);
+    throughput(
+        &mut cluster,
+        "through a daemon, no hop",
+        &addr,
+        Some(&local),
+    )
+    .await?;
+    idle_memory(&mut cluster).await
+}
+
+/// Commit that is measured.
+pub fn commit() -> String {
+    let output = std::process::Command::new("git")
+        .args(["rev-parse", "--short", "HEAD"])
+        .output();
+    output.map_or_else(
+        |_| "?".to_owned(),
+        |o| String::from_utf8_lossy(&o.stdout).trim().to_owned(),
+    )
+}
+
+/// Whether a daemon holds connections to the member of its data centre, by its own count.
+fn is_home(cluster: &Cluster, daemon: &str) -> bool {
+    let Ok(stats) = cluster.stats() else {
+        return false;
+    };
+    let daemons = stats["daemons"].as_array().cloned().unwrap_or_default();
+    let mine = daemons.iter().find(|d| d["name"] == daemon);
+    let reports = mine
+        .and_then(|d| d["groups"][0]["reports"].as_array().cloned())
+        .unwrap_or_default();
+    let center = &daemon[daemon.len() - 2..daemon.len() - 1];
+    reports
+        .iter()
+        .any(|r| r["member"].as_str().is_some_and(|m| m.ends_with(center)))
+}
+
+/// A daemon of a data centre that is home of its member.
+async fn home_of(cluster: &mut Cluster, center: u8) -> Result<String, String> {
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let here = cluster
+        .daemons()
+        .into_iter()
+        .filter(|d| d.contains(&format!("-{center}")));
+    let homes: Vec<String> = here.filter(|d| is_home(cluster, d)).collect();
+    homes.into_iter().next().ok_or_else(|| "no home".to_owned())
+}
+
+async fn latency(addr: &str) -> Result<Histogram<u64>, String> {
+    let caller = Caller::connect(addr, "slots", "lakeshore-desk", "").await?;
+    let mut hist = Histogram::new_with_max(LATENCY_MAX, 3).map_err(|e| e.to_string())?;
+    for i in 0..STATEMENTS + 200 {
+        let begin = Instant::now();
+        if !matches!(caller.simple(LIST).await, Told::Answer(_)) {
+            return Err(format!("{addr} refused a read"));
+        }
+        if i >= 200 {
+            hist.saturating_record(u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX));
+        }
+    }
+    Ok(hist)
+}
+
+async fn throughput(
+    cluster: &mut Cluster,
+    name: &str,
+    addr: &str,
+    daemon: Option<&str>,
+) -> Result<(), String> {
+    let pid = daemon.and_then(|d| cluster.process(d)).map(|p| p.id());
+    let before = pid.map_or(0, cpu_us);
+    let begin = Instant::now();
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let addr = addr.to_owned();
+            tokio::task::spawn_local(async move {
+                let caller = Caller::connect(&addr, "slots", "lakeshore-desk", "").await?;
+                let mut count = 0_u64;
+                while begin.elapsed() < SPAN {
+                    caller.simple(LIST).await;
+                    count += 1;
+                }
+                Ok::<u64, String>(count)
+            })
+        })
+        .collect();
+    let mut count = 0;
+    for task in tasks {
+        count += task.await.map_err(|e| e.to_string())??;
+    }
+    let rate = count * 1000 / u64::try_from(begin.elapsed().as_millis()).unwrap_or(1);
+    match pid {
+        Some(pid) => {
+            let used = cpu_us(pid) - before;
+            let tenths = used * 10 / count.max(1);
+            println!(
+                "{name:<28} {rate:>6} statements/s with {CALLERS} callers, {}.{} µs of processor time a statement",
+                tenths / 10,
+                tenths % 10
+            );
+        }
+        None => println!("{name:<28} {rate:>6} statements/s with {CALLERS} callers"),
+    }
+    Ok(())
+}
+
+async fn idle_memory(cluster: &mut Cluster) -> Result<(), String> {
+    let daemon = "entry-33";
+    let addr = cluster.caller_addr(daemon);
+    let pid = cluster
+        .process(daemon)
+        .map(|p| p.id())
+        .ok_or("no such daemon")?;
+    let mut held = Vec::new();
+    let base = memory(pid);
+    for count in IDLE {
+        while held.len() < count {
+            held.push(Caller::connect(&addr, "slots", "lakeshore-desk", "").await?);
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let each = memory(pid).saturating_sub(base) / count as u64;
+        println!(
+            "{count} idle connections: {} KiB resident, {each} bytes each",
+            memory(pid) / 1024
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/measure/proc.rs
@@ -0,0 +1,48 @@
+//! Processor time, memory and network bytes of a process, from the kernel's counts.
+
+/// Length of a tick of processor time, in µs.
+const TICK_US: u64 = 10_000;
+
+/// Processor time used by a process so far, in µs, to a tick.
+pub fn cpu_us(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let rest = text.rsplit(") ").next().unwrap_or_default();
+    let field = |i: usize| {
+        rest.split(' ')
+            .nth(i)
+            .and_then(|v| v.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    (field(11) + field(12)) * TICK_US
+}
+
+/// Resident memory of a process, in bytes.
+pub fn memory(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text
+        .lines()
+        .find(|l| l.starts_with("VmRSS:"))
+        .unwrap_or_default();
+    let kib = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|v| v.parse::<u64>().ok())
+        .unwrap_or(0);
+    kib * 1024
+}
+
+/// Bytes read and written by a process with any call, sockets included.
+pub fn bytes(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/io")).unwrap_or_default();
+    let field = |name: &str| {
+        let line = text
+            .lines()
+            .find(|l| l.starts_with(name))
+            .unwrap_or_default();
+        line.split(' ')
+            .nth(1)
+            .and_then(|v| v.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    field("rchar:") + field("wchar:")
+}
--- /dev/null
+++ b/xtask/src/measure/write_wait.rs
@@ -0,0 +1,57 @@
+//! What the confirmation of writes costs, against acknowledging at once.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::cluster::{Cluster, Plan};
+use crate::load::{Caller, LATENCY_MAX, Told};
+use crate::measure::path::commit;
+use crate::prove::one_group;
+
+/// Writes of each series.
+const WRITES: u32 = 1000;
+
+/// Measures writes straight to the primary, and through a daemon of each data centre.
+pub async fn run() -> Result<(), String> {
+    let cluster = Cluster::start(Plan::default(), vec![one_group()])?;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    println!(
+        "commit {}, 1 ms one way between data centres, the primary in the first",
+        commit()
+    );
+    let primary = cluster.group_members("lakeshore", "slots")[0].addr.clone();
+    let mut places = vec![("acknowledged at once by the primary".to_owned(), primary)];
+    for daemon in ["entry-11", "entry-21", "entry-31"] {
+        places.push((
+            format!("confirmed, through {daemon}"),
+            cluster.caller_addr(daemon),
+        ));
+    }
+    for (name, addr) in places {
+        let caller = Caller::connect(&addr, "slots", "lakeshore-desk", "").await?;
+        let mut hist = Histogram::<u64>::new_with_max(LATENCY_MAX, 3).map_err(|e| e.to_string())?;
+        for i in 0..WRITES + 20 {
+            let begin = Instant::now();
+            let told = caller
+                .simple(&format!(
+                    "INSERT INTO bookings (k, v) VALUES ('{addr}-{i}', 'x')"
+                ))
+                .await;
+            if !matches!(told, Told::Answer(_)) {
+                return Err(format!("{name}: {told:?}"));
+            }
+            if i >= 20 {
+                hist.saturating_record(
+                    u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX),
+                );
+            }
+        }
+        println!(
+            "{name:<38} p50 {:>6} µs   p99 {:>6} µs",
+            hist.value_at_quantile(0.5),
+            hist.value_at_quantile(0.99)
+        );
+    }
+    Ok(())
+}
--- a/xtask/src/prove/mod.rs
+++ b/xtask/src/prove/mod.rs
@@ -17,6 +17,8 @@
 
 use scene::Facts;
 
+pub use scene::one_group;
+
 /// Options of one run.
 pub struct Options {
     pub list: bool,
