--- a/crates/daemon/src/stats.rs
+++ b/crates/daemon/src/stats.rs
@@ -175,6 +175,10 @@
 
     /// Counts one answered request.
     pub fn note(&self, institution: &str, plan: &Plan, answer: &Answer, place: &str, took_us: u64) {
+        // A batch that only prepares is half a request of its caller.
+        if plan.describe {
+            return;
+        }
         let _ = self.client.time(Metric::LatencyMs.name(), took_us / 1000);
         self.count(match answer.outcome {
             Outcome::Done => Metric::Statements,
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -77,6 +77,7 @@
         .legend(|(x, y)| PathElement::new([(x, y), (x + 12, y)], BLACK));
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::UpperRight)
         .border_style(BLACK)
         .background_style(WHITE)
         .draw()?;
