--- a/crates/schema/src/load.rs
+++ b/crates/schema/src/load.rs
@@ -70,25 +70,29 @@
 }
 
 /// Line on which the last key of a path first stands, looked for below its parents.
+///
+/// When a key cannot be found, as inside a mapping on one line, its parent's line is told.
 fn line_of(text: &str, path: &str) -> Option<usize> {
+    let lines: Vec<&str> = text.lines().collect();
     let mut from = 0;
     let mut found = None;
     for part in path.split('.') {
-        let (name, index) = part.split_once('[').map_or((part, 0), |(n, rest)| {
-            (n, rest.trim_end_matches(']').parse::<usize>().unwrap_or(0))
+        let (name, index) = part.split_once('[').map_or((part, None), |(name, rest)| {
+            (name, rest.trim_end_matches(']').parse::<usize>().ok())
         });
         let wanted = format!("{name}:");
-        let starts = |l: &str| l.trim_start().trim_start_matches("- ").starts_with(&wanted);
-        let at = text.lines().skip(from).position(starts)? + from;
-        found = Some(at + 1);
-        from = at + 1;
-        let items = text
-            .lines()
-            .enumerate()
-            .skip(from)
-            .filter(|(_, l)| l.trim_start().starts_with("- "));
-        if part.contains('[') {
-            from = items.map(|(i, _)| i).nth(index).unwrap_or(from);
+        let holds = |l: &&str| l.trim_start_matches([' ', '-', '{']).starts_with(&wanted);
+        let Some(at) = lines.iter().skip(from).position(|l| holds(l)) else {
+            return found;
+        };
+        (found, from) = (Some(from + at + 1), from + at + 1);
+        if let Some(index) = index {
+            let is_item = |i: &usize| lines[*i].trim_start().starts_with("- ");
+            from = (from..lines.len())
+                .filter(is_item)
+                .nth(index)
+                .unwrap_or(from);
+            found = Some(from + 1);
         }
     }
     found
