Believe no leader that nobody has heard of late; add a golden session

Cause: with two members dead a first write was held for 3,013 ms before it was refused: daemons that had once asked the dead primary still told that it led. Change: a leader's report counts for others only while it is fresh.

--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -88,11 +88,15 @@
     /// What this daemon knows of a group.
     pub fn view_group(&self, name: &str) -> Option<GroupView> {
         let group = self.group(name)?;
-        let leads = group
+        // A report of a member that nobody asks any more says nothing of who leads now.
+        let timing = &self.settings.timing;
+        let fresh_ms = timing.heartbeat_ms + timing.suspect_ms;
+        let reports = group
             .members
             .iter()
             .filter_map(|m| Some((m.watch.report()?, m)));
-        let leads = leads.filter(|(r, _)| r.leads).max_by_key(|(r, _)| r.term);
+        let leads = reports.filter(|(r, _)| r.leads && r.asked.elapsed() <= fresh_ms);
+        let leads = leads.max_by_key(|(r, _)| r.term);
         let newest = group.reports().iter().map(|r| r.term).max().unwrap_or(0);
         let leader = leads
             .filter(|(r, _)| r.term >= newest)
--- a/xtask/src/prove/cases.rs
+++ b/xtask/src/prove/cases.rs
@@ -1,6 +1,6 @@
 //! The list of all cases.
 
-use crate::prove::{Case, aged, configuration, once, overload, primary, sessions, stops};
+use crate::prove::{Case, aged, configuration, golden, once, overload, primary, sessions, stops};
 
 /// Makes one entry of the list.
 macro_rules! case {
@@ -18,6 +18,12 @@
 /// All cases, in the order in which they are run.
 pub fn all() -> Vec<Case> {
     vec![
+        case!(
+            "golden-session",
+            "a session reads as straight to the database",
+            "none; differential against the primary and a golden file",
+            golden::session
+        ),
         case!(
             "kill-primary",
             "acknowledged writes survive, service goes on",
--- /dev/null
+++ b/xtask/src/prove/golden.rs
@@ -0,0 +1,137 @@
+//! A whole session through the fleet, the same session straight to the primary, and the golden
+//! file: all three must agree.
+
+use std::fmt::Write;
+
+use tokio_postgres::{NoTls, SimpleQueryMessage};
+
+use crate::cluster::{Plan, password_of};
+use crate::prove::Ctx;
+use crate::prove::scene::{Facts, Scene};
+
+/// Statements of the session, in order; `$` lines are prepared and run with one parameter.
+const SCRIPT: &[&str] = &[
+    "SELECT v FROM bookings WHERE k = 'g1'",
+    "INSERT INTO bookings (k, v) VALUES ('g1', 'pit 4')",
+    "SELECT v FROM bookings WHERE k = 'g1'",
+    "$SELECT k, v FROM bookings WHERE k = $1|g1",
+    "UPDATE bookings SET v = 'pit 5' WHERE k = 'g1'",
+    "$SELECT v FROM bookings WHERE k = $1|g1",
+    "BEGIN",
+    "INSERT INTO bookings (k, v) VALUES ('g2', 'pit 1')",
+    "SELECT count(*) FROM bookings WHERE k = 'g2'",
+    "ROLLBACK",
+    "SELECT count(*) FROM bookings WHERE k = 'g2'",
+    "BEGIN",
+    "INSERT INTO bookings (k, v) VALUES ('g3', 'pit 2')",
+    "FETCH nonsense",
+    "SELECT v FROM bookings WHERE k = 'g3'",
+    "COMMIT",
+    "SELECT count(*) FROM bookings WHERE k = 'g3'",
+    "BEGIN; INSERT INTO bookings (k, v) VALUES ('g4', 'a'); COMMIT",
+    "SELECT v FROM bookings WHERE k = 'g4'; SELECT v FROM bookings WHERE k = 'g1'",
+    "SET application_name = 'golden'",
+    "SHOW application_name",
+    "$SELECT v FROM bookings WHERE k = $1|g4",
+    "DELETE FROM bookings WHERE k = 'g1'",
+    "$SELECT v FROM bookings WHERE k = $1|g1",
+    "",
+];
+
+/// Runs the script on one connection and writes down what came back.
+async fn transcript(addr: &str) -> Result<String, String> {
+    let (host, port) = addr.split_once(':').ok_or("an address has a port")?;
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(host)
+        .port(port.parse().map_err(|_| "a port")?)
+        .user("lakeshore-desk")
+        .dbname("slots")
+        .password(password_of("lakeshore-desk"));
+    let (client, driver) = config.connect(NoTls).await.map_err(|e| e.to_string())?;
+    tokio::spawn(async move {
+        let _ = driver.await;
+    });
+    let mut out = String::new();
+    for line in SCRIPT {
+        let _ = writeln!(out, "> {line}");
+        if let Some((sql, param)) = line.strip_prefix('$').and_then(|l| l.split_once('|')) {
+            match client.query(sql, &[&param]).await {
+                Ok(rows) => {
+                    for row in &rows {
+                        let columns: Vec<String> = (0..row.len()).map(|i| row.get(i)).collect();
+                        let _ = writeln!(out, "< {}", columns.join(" | "));
+                    }
+                    let _ = writeln!(out, "< {} rows", rows.len());
+                }
+                Err(e) => error(&mut out, &e),
+            }
+            continue;
+        }
+        match client.simple_query(line).await {
+            Ok(messages) => messages.iter().for_each(|m| message(&mut out, m)),
+            Err(e) => error(&mut out, &e),
+        }
+    }
+    Ok(out)
+}
+
+fn message(out: &mut String, message: &SimpleQueryMessage) {
+    let _ = match message {
+        SimpleQueryMessage::Row(row) => {
+            let columns: Vec<&str> = (0..row.len())
+                .map(|i| row.get(i).unwrap_or("NULL"))
+                .collect();
+            writeln!(out, "< {}", columns.join(" | "))
+        }
+        SimpleQueryMessage::CommandComplete(count) => writeln!(out, "< complete {count}"),
+        SimpleQueryMessage::RowDescription(columns) => {
+            let names: Vec<&str> = columns
+                .iter()
+                .map(tokio_postgres::SimpleColumn::name)
+                .collect();
+            writeln!(out, "< columns {}", names.join(" | "))
+        }
+        _ => Ok(()),
+    };
+}
+
+fn error(out: &mut String, e: &tokio_postgres::Error) {
+    let _ = match e.as_db_error() {
+        Some(db) => writeln!(out, "< error {}: {}", db.code().code(), db.message()),
+        None => writeln!(out, "< connection lost"),
+    };
+}
+
+/// Compares the three transcripts.
+pub async fn session(ctx: Ctx) -> Result<Facts, String> {
+    let plan = Plan::default();
+    let naive = Scene::start(Ctx { naive: true, ..ctx }, plan.clone()).await?;
+    let direct = transcript(&naive.leader().await?).await?;
+    drop(naive);
+    let mut scene = Scene::start(
+        Ctx {
+            naive: false,
+            ..ctx
+        },
+        plan,
+    )
+    .await?;
+    let through = transcript(&scene.addrs()[4]).await?;
+    let path = crate::codegen::root().join("xtask/golden/session.txt");
+    if std::env::var_os("UPDATE_EXPECT").is_some() {
+        std::fs::write(&path, &through).map_err(|e| e.to_string())?;
+    }
+    let golden = std::fs::read_to_string(&path).unwrap_or_default();
+    let mut facts = scene.finish().await?;
+    facts.expect(
+        through == direct,
+        "the session differs from the one straight to the primary",
+    );
+    facts.expect(
+        through == golden,
+        "the session differs from xtask/golden/session.txt",
+    );
+    facts.tell("lines", through.lines().count());
+    Ok(facts)
+}
--- a/xtask/src/prove/mod.rs
+++ b/xtask/src/prove/mod.rs
@@ -3,6 +3,7 @@
 mod aged;
 mod cases;
 mod configuration;
+mod golden;
 mod once;
 mod overload;
 mod primary;
