Remove the waker of every wait that is over

Cause: perf showed 64 % of a daemon's time in the poll of a signal: wakers of finished waits were kept and compared one by one, one more for each statement. Ruled out: system calls and copies (each below 2 % in the same profile). Change: each wait owns its waker and removes it.

--- a/crates/base/src/signal.rs
+++ b/crates/base/src/signal.rs
@@ -1,22 +1,35 @@
 //! Wakes all tasks of a thread that wait for a change.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
-use std::task::{Poll, Waker};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
 
 /// A broadcast signal between tasks of one thread.
 #[derive(Debug, Default)]
 pub struct Signal {
     /// Grows with each `notify`, so that no wake-up is lost between a check and the wait.
     count: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    /// One entry for each wait under way; a wait removes its own when it is dropped.
+    wakers: RefCell<BTreeMap<u64, Waker>>,
+    next_wait: Cell<u64>,
+}
+
+/// A wait for a signal.
+#[derive(Debug)]
+pub struct Wait<'a> {
+    signal: &'a Signal,
+    seen: u64,
+    /// Key of its waker, once it has one.
+    key: Option<u64>,
 }
 
 impl Signal {
     /// Wakes every waiting task.
     pub fn notify(&self) {
         self.count.set(self.count.get().wrapping_add(1));
-        for waker in self.wakers.take() {
+        for waker in self.wakers.take().into_values() {
             waker.wake();
         }
     }
@@ -27,17 +40,40 @@
     }
 
     /// Waits until `notify` has been called since `seen` was taken.
-    pub async fn wait_past(&self, seen: u64) {
-        poll_fn(|cx| {
-            if self.count.get() != seen {
-                return Poll::Ready(());
-            }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|w| w.will_wake(cx.waker())) {
-                wakers.push(cx.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await;
+    pub fn wait_past(&self, seen: u64) -> Wait<'_> {
+        Wait {
+            signal: self,
+            seen,
+            key: None,
+        }
+    }
+
+    /// Waits under way.
+    pub fn waits(&self) -> usize {
+        self.wakers.borrow().len()
+    }
+}
+
+impl Future for Wait<'_> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<()> {
+        if self.signal.count.get() != self.seen {
+            return Poll::Ready(());
+        }
+        let signal = self.signal;
+        let key = *self
+            .key
+            .get_or_insert_with(|| signal.next_wait.replace(signal.next_wait.get() + 1));
+        signal.wakers.borrow_mut().insert(key, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.signal.wakers.borrow_mut().remove(&key);
+        }
     }
 }
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -281,8 +281,8 @@
 
     /// Address of a daemon for callers.
     pub fn caller_addr(&self, daemon: &str) -> String {
-        let digits: Vec<u8> = daemon.bytes().rev().take(2).map(|b| b - b'0').collect();
-        format!("{}:{CALLER_PORT}", self.ip(digits[1], digits[0]))
+        let (center, i) = place_of(daemon);
+        format!("{}:{CALLER_PORT}", self.ip(center, i))
     }
 
     /// Address of a daemon for operators.
@@ -323,7 +323,7 @@
         );
         text.push_str("seeds:\n");
         for other in self.daemons().iter().filter(|n| **n != name).take(3) {
-            let dc = &other[other.len() - 2..other.len() - 1];
+            let dc = place_of(other).0;
             let _ = writeln!(
                 text,
                 "  - {{name: {other}, data_center: dc{dc}, addr: \"{}\"}}",
@@ -353,7 +353,7 @@
         let vm = |name: &str, center: u8, role: &str, addr: &str| json!({"name": name, "data_center": format!("dc{center}"), "role": role, "addr": addr, "state": "live"});
         let mut vms = Vec::new();
         for name in self.daemons() {
-            let center = name.as_bytes()[name.len() - 2] - b'0';
+            let (center, _) = place_of(&name);
             vms.push(vm(&name, center, "entry", &self.internal_addr(&name)));
         }
         vms.extend(
@@ -490,6 +490,16 @@
     }
 }
 
+/// Data centre and number of a daemon, from its name.
+fn place_of(daemon: &str) -> (u8, u8) {
+    let digits = daemon.trim_start_matches("entry-");
+    let (center, i) = digits.split_at(1);
+    (
+        center.parse().expect("a daemon's name has a centre"),
+        i.parse().expect("and a number"),
+    )
+}
+
 /// Second byte of this run's addresses, so that several runs can go on side by side.
 fn free_run() -> Result<u8, String> {
     let start = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
