--- a/xtask/src/measure/capacity.rs
+++ b/xtask/src/measure/capacity.rs
@@ -7,7 +7,7 @@
 
 use crate::cluster::{Cluster, Plan, lakeshore};
 use crate::measure::path::commit;
-use crate::measure::proc::{bytes, cpu_us, memory};
+use crate::measure::proc::{cpu_us, loopback_bytes, memory};
 
 /// Daemons in each data centre.
 const SIZES: [u8; 3] = [3, 10, 33];
@@ -19,6 +19,9 @@
 const CHANGES: u64 = 20;
 
 /// Mean use of the daemons over a span.
+///
+/// Bytes are those of the whole machine on loopback: headers, the stand-ins' replication and a second
+/// passage through the links included, so they are an upper bound.
 struct Use {
     cpu_us: f64,
     bytes: f64,
@@ -28,23 +31,50 @@
 /// Runs all series and prints them.
 pub async fn run() -> Result<(), String> {
     println!("commit {}", commit());
+    for groups in [GROUPS[0], GROUPS[2]] {
+        println!(
+            "stand-ins alone with {groups} groups: {} bytes/s on loopback",
+            alone(groups).await?
+        );
+    }
     println!("\nan idle fleet with one group, by daemons");
     for size in SIZES {
-        let mut cluster = fleet(size, 1)?;
+        let mut cluster = fleet(
+            Plan {
+                daemons: size,
+                ..Plan::default()
+            },
+            1,
+        )?;
         let idle = watch(&mut cluster, WATCHED).await;
         print_use(&format!("{} daemons", 3 * u32::from(size)), &idle, &cluster)?;
         spread(&mut cluster).await?;
     }
     println!("\nan idle fleet of 9 daemons, by groups of three members");
     for groups in GROUPS {
-        let mut cluster = fleet(3, groups)?;
+        let mut cluster = fleet(Plan::default(), groups)?;
         let idle = watch(&mut cluster, WATCHED).await;
         print_use(&format!("{groups} groups"), &idle, &cluster)?;
     }
     Ok(())
 }
 
-fn fleet(daemons: u8, groups: usize) -> Result<Cluster, String> {
+/// Bytes a second that the stand-ins exchange without any daemon.
+async fn alone(groups: usize) -> Result<u64, String> {
+    let _stand_ins = fleet(
+        Plan {
+            bare: true,
+            ..Plan::default()
+        },
+        groups,
+    )?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = loopback_bytes();
+    tokio::time::sleep(WATCHED).await;
+    Ok((loopback_bytes() - before) / WATCHED.as_secs())
+}
+
+fn fleet(plan: Plan, groups: usize) -> Result<Cluster, String> {
     let mut deployment = lakeshore();
     let first = deployment.groups[0].clone();
     deployment.groups = (0..groups)
@@ -57,9 +87,8 @@
         .collect();
     Cluster::start(
         Plan {
-            daemons,
             delay_us: 0,
-            ..Plan::default()
+            ..plan
         },
         vec![deployment],
     )
@@ -74,12 +103,12 @@
         .filter_map(|n| cluster.process(n).map(|p| p.id()))
         .collect();
     let total = |f: fn(u32) -> u64| pids.iter().map(|p| f(*p)).sum::<u64>();
-    let (cpu, io, begin) = (total(cpu_us), total(bytes), Instant::now());
+    let (cpu, io, begin) = (total(cpu_us), loopback_bytes(), Instant::now());
     tokio::time::sleep(span).await;
     let seconds = begin.elapsed().as_secs_f64() * pids.len() as f64;
     Use {
         cpu_us: (total(cpu_us) - cpu) as f64 / seconds,
-        bytes: (total(bytes) - io) as f64 / seconds,
+        bytes: (loopback_bytes() - io) as f64 / seconds,
         memory: total(memory) / pids.len() as u64,
     }
 }
@@ -90,7 +119,7 @@
     let after = cluster.admin(&json!({}))?;
     let reads = after["reads"].as_u64().unwrap_or(0) - before["reads"].as_u64().unwrap_or(0);
     println!(
-        "{name:<14} {:>7.0} µs/s of processor time, {:>7.0} bytes/s read and written, {:>6} KiB resident, a daemon; {:>5.1} reads/s at the platform",
+        "{name:<14} {:>7.0} µs/s of processor time, {:>7.0} bytes/s on loopback, {:>6} KiB resident, a daemon; {:>5.1} reads/s at the platform",
         idle.cpu_us,
         idle.bytes,
         idle.memory / 1024,
@@ -108,14 +137,14 @@
         .filter_map(|n| cluster.process(n).map(|p| p.id()))
         .collect();
     let total = |f: fn(u32) -> u64| pids.iter().map(|p| f(*p)).sum::<u64>();
-    let (cpu, io) = (total(cpu_us), total(bytes));
+    let (cpu, io) = (total(cpu_us), loopback_bytes());
     let begin = Instant::now();
     for version in 1..=CHANGES {
         patch(cluster, version)?;
     }
     let submitted = begin.elapsed();
     let last = wait_for(cluster, CHANGES + 1, names.len()).await?;
-    let (cpu, io) = (total(cpu_us) - cpu, total(bytes) - io);
+    let (cpu, io) = (total(cpu_us) - cpu, loopback_bytes() - io);
     let each = (pids.len() as u64 * CHANGES) as f64;
     println!(
         "               {CHANGES} changes in {} ms, the last in force everywhere after {} ms more; {:.0} bytes and {:.0} µs a daemon and change, idle use included",
--- a/xtask/src/measure/proc.rs
+++ b/xtask/src/measure/proc.rs
@@ -31,18 +31,15 @@
     kib * 1024
 }
 
-/// Bytes read and written by a process with any call, sockets included.
-pub fn bytes(pid: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/io")).unwrap_or_default();
-    let field = |name: &str| {
-        let line = text
-            .lines()
-            .find(|l| l.starts_with(name))
-            .unwrap_or_default();
-        line.split(' ')
-            .nth(1)
-            .and_then(|v| v.parse::<u64>().ok())
-            .unwrap_or(0)
-    };
-    field("rchar:") + field("wchar:")
+/// Bytes sent over loopback by the whole machine so far, headers included.
+pub fn loopback_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text
+        .lines()
+        .find_map(|l| l.trim_start().strip_prefix("lo:"))
+        .unwrap_or_default();
+    line.split_whitespace()
+        .nth(8)
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0)
 }
