--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 mod deploy;
 mod look;
 mod process;
+mod publish;
 
 pub use deploy::{Deployment, GroupPlan, lakeshore, oprawka, password_of};
 pub use process::{Process, interrupted};
@@ -15,7 +16,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::codegen::root;
 use process::Spawner;
@@ -349,57 +350,6 @@
         Ok(())
     }
 
-    fn publish_vms(&mut self) -> Result<(), String> {
-        let vm = |name: &str, center: u8, role: &str, addr: &str| json!({"name": name, "data_center": format!("dc{center}"), "role": role, "addr": addr, "state": "live"});
-        let mut vms = Vec::new();
-        for name in self.daemons() {
-            let (center, _) = place_of(&name);
-            vms.push(vm(&name, center, "entry", &self.internal_addr(&name)));
-        }
-        vms.extend(
-            self.members()
-                .iter()
-                .map(|m| vm(&m.name, m.center, "upstream", &m.addr)),
-        );
-        self.vms = vms;
-        self.admin(&json!({"vms": self.vms}))?;
-        Ok(())
-    }
-
-    /// Changes the state of a VM on the platform's list.
-    pub fn list_as(&mut self, name: &str, state: &str) -> Result<(), String> {
-        for vm in &mut self.vms {
-            if vm["name"] == name {
-                vm["state"] = json!(state);
-            }
-        }
-        self.admin(&json!({"vms": self.vms}))?;
-        Ok(())
-    }
-
-    fn publish_institutions(&self) -> Result<(), String> {
-        for deployment in &self.deployments {
-            let value = self.first_institution(&deployment.name)?;
-            self.admin(&json!({"restore": format!("institutions/{}", deployment.name), "version": 1, "value": value}))?;
-        }
-        Ok(())
-    }
-
-    /// The first version of an institution's object.
-    pub fn first_institution(&self, name: &str) -> Result<Value, String> {
-        let deployment = self
-            .deployments
-            .iter()
-            .find(|d| d.name == name)
-            .ok_or("no such institution")?;
-        let members = |group: &GroupPlan| -> Vec<Value> {
-            let list = self.group_members(&deployment.name, &group.name);
-            let member = |m: &MemberRef| json!({"name": m.name, "data_center": format!("dc{}", m.center), "addr": m.addr});
-            list.iter().map(member).collect()
-        };
-        Ok(deployment.institution(members))
-    }
-
     /// Address of the naive proxy.
     pub fn naive_addr(&self) -> String {
         format!("{}:{CALLER_PORT}", self.ip(PLATFORM, 3))
--- a/xtask/src/prove/primary.rs
+++ b/xtask/src/prove/primary.rs
@@ -1,6 +1,6 @@
 //! Changes of primary, under failures of members, links, wardens and the platform.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -30,12 +30,17 @@
     let gap = scene.load.gap_after(failed);
     let mut facts = scene.finish().await?;
     facts.expect(served, "no write was served after the failure");
+    judge_gap(&mut facts, gap);
+    Ok(facts)
+}
+
+/// Compares the time without service with the target of the project.
+fn judge_gap(facts: &mut Facts, gap: Duration) {
     facts.expect(
         gap.as_millis() < CHANGE_MAX_MS,
         "the change took longer than 6 s",
     );
     facts.tell("gap_ms", ms(gap));
-    Ok(facts)
 }
 
 async fn under_load(ctx: Ctx, plan: Plan) -> Result<Scene, String> {
@@ -87,11 +92,7 @@
         .ok_or("the old primary does not answer")?;
     let mut facts = scene.finish().await?;
     facts.expect(!leads, "the old primary still leads after it woke up");
-    facts.expect(
-        gap.as_millis() < CHANGE_MAX_MS,
-        "the change took longer than 6 s",
-    );
-    facts.tell("gap_ms", ms(gap));
+    judge_gap(&mut facts, gap);
     Ok(facts)
 }
 
@@ -117,11 +118,7 @@
         "no write was served while the data centre was cut off",
     );
     facts.expect(!leads, "the old primary still leads after the cut healed");
-    facts.expect(
-        gap.as_millis() < CHANGE_MAX_MS,
-        "the change took longer than 6 s",
-    );
-    facts.tell("gap_ms", ms(gap));
+    judge_gap(&mut facts, gap);
     Ok(facts)
 }
 
@@ -143,11 +140,7 @@
     pause(3000).await;
     let mut facts = scene.finish().await?;
     facts.expect(served, "no write was served while the cut lasted");
-    facts.expect(
-        gap.as_millis() < CHANGE_MAX_MS,
-        "the change took longer than 6 s",
-    );
-    facts.tell("gap_ms", ms(gap));
+    judge_gap(&mut facts, gap);
     Ok(facts)
 }
 
@@ -268,7 +261,7 @@
         ..Plan::default()
     };
     let mut scene = under_load(ctx, plan).await?;
-    let mut worst = std::time::Duration::ZERO;
+    let mut worst = Duration::ZERO;
     for _ in 0..3 {
         let leader = scene.leader().await?;
         let name = scene
@@ -288,11 +281,7 @@
         pause(1500).await;
     }
     let mut facts = scene.finish().await?;
-    facts.expect(
-        worst.as_millis() < CHANGE_MAX_MS,
-        "a change took longer than 6 s",
-    );
-    facts.tell("gap_ms", ms(worst));
+    judge_gap(&mut facts, worst);
     Ok(facts)
 }
 
@@ -363,7 +352,7 @@
             far.clone()
         };
         let sql = format!("INSERT INTO bookings (k, v) VALUES ('{key}', 'x')");
-        let until = Instant::now() + std::time::Duration::from_secs(10);
+        let until = Instant::now() + Duration::from_secs(10);
         while !matches!(
             Caller::connect(&target, "slots", "lakeshore-desk", "")
                 .await?
