--- a/crates/daemon/src/cluster.rs
+++ b/crates/daemon/src/cluster.rs
@@ -7,7 +7,7 @@
 use base::{Event, Ms, Signal, emit};
 use group::MemberReport;
 use pg::Login;
-use schema::{Group, Institution, Member, Pos, Report, qualified};
+use schema::{Group, Member, Report, qualified};
 
 use crate::home::{Control, Gate, Marks, Pool, Watch};
 use crate::state::Daemon;
@@ -144,15 +144,6 @@
         let route = self.route.borrow();
         (!route.leader.is_empty()).then(|| (route.term, route.leader.clone()))
     }
-
-    /// Newest last position among the reports.
-    pub fn newest(&self) -> Pos {
-        self.reports()
-            .iter()
-            .map(|r| r.last)
-            .max()
-            .unwrap_or_default()
-    }
 }
 
 impl Daemon {
@@ -162,7 +153,7 @@
         for institution in self.holdings.institutions() {
             for config in &institution.groups {
                 let name = qualified(&institution.name, &config.name);
-                let group = self.group_for(&institution, &name, config);
+                let group = self.group_for(&name, config);
                 next.insert(name, group);
             }
         }
@@ -170,7 +161,7 @@
         self.take_up_homes();
     }
 
-    fn group_for(&self, _institution: &Institution, name: &str, config: &Group) -> Rc<GroupState> {
+    fn group_for(&self, name: &str, config: &Group) -> Rc<GroupState> {
         let old = self.group(name);
         if let Some(old) = old.as_ref().filter(|o| o.config == *config) {
             return old.clone();
--- a/crates/daemon/src/entry/read.rs
+++ b/crates/daemon/src/entry/read.rs
@@ -33,7 +33,7 @@
     ) -> Read {
         let mut reason = Why::NoHome;
         for member in self.replicas(group) {
-            if member.config.name.is_empty() || until.left() == 0 {
+            if until.left() == 0 {
                 break;
             }
             match self.try_replica(&member, &run, until).await {
@@ -53,9 +53,6 @@
                 Err(why) => reason = why,
             }
         }
-        if plan.describe && reason == Why::NoHome {
-            reason = Why::NoPrimary;
-        }
         let mut tried = self.run_on_primary(group, plan, run, until).await;
         // A read has no effect, so "not run" is true of one whose answer was withheld.
         if tried.answer.outcome == Outcome::Unknown {
--- a/crates/daemon/src/internal.rs
+++ b/crates/daemon/src/internal.rs
@@ -69,8 +69,6 @@
                 let none = GroupView {
                     term: 0,
                     leader: "".into(),
-                    pos: schema::Pos::ZERO,
-                    verified: false,
                     reports: Vec::new(),
                 };
                 ok(&self.view_group(&ask.group).unwrap_or(none))
--- a/crates/daemon/src/leader.rs
+++ b/crates/daemon/src/leader.rs
@@ -75,8 +75,6 @@
         }
         let ask = GroupAsk {
             group: group.into(),
-            verify: false,
-            left_ms: SEARCH_MS,
         };
         let addr = self.roster.daemon(home)?;
         self.peers
@@ -104,8 +102,6 @@
         Some(GroupView {
             term: newest,
             leader: leader.unwrap_or_default(),
-            pos: group.newest(),
-            verified: false,
             reports: group.told_reports(),
         })
     }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use base::{Event, Ms, emit};
+use base::{Event, Metric, Ms, emit};
 use monoio::net::TcpListener;
 use schema::Settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -117,6 +117,7 @@
 async fn housekeeping(daemon: Rc<Daemon>) {
     loop {
         sleep(SWEEP_MS).await;
+        daemon.stats.gauge(Metric::Callers, daemon.sessions.open());
         daemon.leases.sweep(daemon.settings.timing.idle_tx_ms);
         for group in daemon.groups.borrow().values() {
             for member in &group.members {
--- a/crates/daemon/src/stats.rs
+++ b/crates/daemon/src/stats.rs
@@ -5,7 +5,7 @@
 use std::net::UdpSocket;
 
 use base::{Metric, Ms};
-use cadence::{Counted, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{Counted, Gauged, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
 use hdrhistogram::Histogram;
 use schema::{Answer, Bucket, Change, Hist, Outcome, Served, Settings, Window};
 
@@ -173,6 +173,11 @@
         let _ = self.client.count(metric.name(), 1);
     }
 
+    /// Sets a gauge.
+    pub fn gauge(&self, metric: Metric, val: u64) {
+        let _ = self.client.gauge(metric.name(), val);
+    }
+
     /// Counts one answered request.
     pub fn note(&self, institution: &str, plan: &Plan, answer: &Answer, place: &str, took_us: u64) {
         // A batch that only prepares is half a request of its caller.
