--- a/xtask/src/prove/golden.rs
+++ b/xtask/src/prove/golden.rs
@@ -103,6 +103,25 @@
     };
 }
 
+/// Whether a running daemon holds an `io_uring`, by its open descriptors.
+fn uses_io_uring(scene: &mut Scene) -> bool {
+    let names = scene.cluster.daemons();
+    let pids = names
+        .iter()
+        .filter_map(|n| scene.cluster.process(n).map(|p| p.id()));
+    let descriptors = pids
+        .filter_map(|pid| std::fs::read_dir(format!("/proc/{pid}/fd")).ok())
+        .flatten()
+        .flatten();
+    let targets = descriptors.filter_map(|entry| std::fs::read_link(entry.path()).ok());
+    let mut seen = 0;
+    let found = targets
+        .inspect(|_| seen += 1)
+        .any(|t| t.to_string_lossy().contains("io_uring"));
+    assert!(seen > names.len(), "the daemons' descriptors can be read");
+    found
+}
+
 /// Compares the three transcripts.
 pub async fn session(ctx: Ctx) -> Result<Facts, String> {
     let plan = Plan::default();
@@ -132,6 +151,10 @@
         through == golden,
         "the session differs from xtask/golden/session.txt",
     );
+    facts.expect(
+        !uses_io_uring(&mut scene),
+        "a running daemon holds an io_uring",
+    );
     facts.tell("lines", through.lines().count());
     Ok(facts)
 }
