--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -75,6 +75,9 @@
     for task in tasks {
         let _ = task.await;
     }
+    if interrupted() {
+        return Err("interrupted; all processes are ended".to_owned());
+    }
     report(cluster, &parts, killed, options).await
 }
 
