--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -2,13 +2,17 @@
 
 use std::cell::Cell;
 use std::sync::OnceLock;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// An instant of this process's monotonic clock, in milliseconds since the process began.
+use rustix::time::{ClockId, clock_gettime};
+
+/// An instant in milliseconds since the process began, on a clock that never steps.
+///
+/// The clock also counts the time that a VM is suspended, so that a lease lapses meanwhile.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ms(pub u64);
 
-static START: OnceLock<Instant> = OnceLock::new();
+static START: OnceLock<Duration> = OnceLock::new();
 
 thread_local! {
     static SET: Cell<Option<u64>> = const { Cell::new(None) };
@@ -20,7 +24,8 @@
         if let Some(ms) = SET.get() {
             return Ms(ms);
         }
-        Ms(millis(START.get_or_init(Instant::now).elapsed()))
+        let now = boot_time();
+        Ms(millis(now.saturating_sub(*START.get_or_init(|| now))))
     }
 
     /// Fixes the clock of this thread, for tests.
@@ -52,6 +57,13 @@
     }
 }
 
+/// Time since the VM booted, suspended time included.
+fn boot_time() -> Duration {
+    let at = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(at.tv_sec).unwrap_or(0);
+    Duration::new(secs, u32::try_from(at.tv_nsec).unwrap_or(0))
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/hollyreach/src/args.rs
+++ b/crates/hollyreach/src/args.rs
@@ -6,8 +6,10 @@
 pub enum Command {
     /// Run a daemon.
     Serve { config: Box<str> },
+    /// Run a daemon on the platform.
+    Gateway { config: Box<str> },
     /// Check a settings file.
-    Check { file: Box<str> },
+    Check { file: Box<str>, gateway: bool },
     /// Salt a caller's password.
     Password { password: Box<str> },
     /// Show or change configuration.
@@ -138,8 +140,16 @@
         .to_options()
         .descr("Run a daemon")
         .command("serve");
+    let config = text("config", "FILE", "settings file");
+    let on_platform = construct!(Command::Gateway { config })
+        .to_options()
+        .descr("Run a daemon on the platform")
+        .command("gateway");
+    let gateway = long("gateway")
+        .help("the settings are of a daemon on the platform")
+        .switch();
     let file = place("FILE", "settings file");
-    let check = construct!(Command::Check { file })
+    let check = construct!(Command::Check { gateway, file })
         .to_options()
         .descr("Check a settings file; exit code 2 when it is refused")
         .command("check");
@@ -161,7 +171,7 @@
         .to_options()
         .descr("Make a report")
         .command("report");
-    construct!([serve, check, config, status, report, password])
+    construct!([serve, on_platform, check, config, status, report, password])
         .to_options()
         .descr("A database proxy with session consistency")
         .version(env!("CARGO_PKG_VERSION"))
--- a/crates/hollyreach/src/main.rs
+++ b/crates/hollyreach/src/main.rs
@@ -34,7 +34,24 @@
             Ok(settings) => finish(daemon::serve(settings)),
             Err(e) => refuse(&e),
         },
-        Command::Check { file } => match schema::load_settings(&file) {
+        Command::Gateway { config } => match schema::load_gateway(&config) {
+            Ok(settings) => finish(platform::serve(&settings)),
+            Err(e) => refuse(&e),
+        },
+        Command::Check {
+            file,
+            gateway: true,
+        } => match schema::load_gateway(&file) {
+            Ok(settings) => {
+                println!("{file}: ok, VM {} on the platform", settings.name);
+                0
+            }
+            Err(e) => refuse(&e),
+        },
+        Command::Check {
+            file,
+            gateway: false,
+        } => match schema::load_settings(&file) {
             Ok(settings) => {
                 println!(
                     "{file}: ok, VM {} in data centre {}",
--- a/crates/pg/src/io.rs
+++ b/crates/link/src/lib.rs
@@ -1,4 +1,4 @@
-//! A byte stream, in the clear or under TLS, with an input buffer.
+//! A byte stream, in the clear or under TLS, with an input buffer; every protocol of the project rests on it.
 
 use std::future::poll_fn;
 use std::io;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -21,6 +21,8 @@
 
 /// Path that every daemon answers at once.
 pub const HELLO: &str = "/hello";
+/// Silence after which the kernel probes a connection, so that a dead one is found.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
 /// Idle connections kept for one address.
 const IDLE_MAX: usize = 64;
 
@@ -32,7 +34,7 @@
         NotSent(text: Box<str>) { display("not sent: {text}") }
         /// The request may have been carried out.
         NoAnswer(text: Box<str>) { display("no answer: {text}") }
-        /// The peer answered with another status than 200.
+        /// The peer answered with a status that is no success.
         Status(code: u16, body: Bytes) { display("status {code}") }
     }
 }
@@ -68,6 +70,15 @@
         }
     }
 
+    /// Makes a client that shows no secret, for servers outside the fleet.
+    pub fn bare(connect_ms: u64) -> Client {
+        Client {
+            idle: RefCell::default(),
+            token: "".into(),
+            connect: Duration::from_millis(connect_ms),
+        }
+    }
+
     /// Takes an idle connection to a daemon or opens one.
     ///
     /// A new connection is only handed out once the daemon has answered on it: a gateway may
@@ -82,7 +93,7 @@
         }
         let mut conn = self.open(addr).await?;
         let within = u64::try_from(self.connect.as_millis()).unwrap_or(u64::MAX);
-        match conn.send("GET", HELLO, Bytes::new(), within).await {
+        match conn.send("GET", HELLO, &[], Bytes::new(), within).await {
             Ok(_) => Ok(conn),
             Err(e) => Err(CallError::NotSent(e.to_string().into())),
         }
@@ -106,6 +117,8 @@
         let open = async {
             let stream = TcpStream::connect_addr(addr).await?;
             stream.set_nodelay(true)?;
+            let second = Duration::from_secs(1);
+            stream.set_tcp_keepalive(Some(PROBE_AFTER), Some(second), Some(2))?;
             stream.into_poll_io()
         };
         let stream = match monoio::time::timeout(self.connect, open).await {
@@ -167,12 +180,29 @@
         path: &str,
         body: Bytes,
         within: u64,
+    ) -> Result<Bytes, CallError> {
+        self.with_headers(addr, method, path, &[], body, within)
+            .await
+    }
+
+    /// As `plain`, with headers of the caller's choice.
+    ///
+    /// # Errors
+    /// As `plain`.
+    pub async fn with_headers(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        within: u64,
     ) -> Result<Bytes, CallError> {
         let mut conn = match self.idle_one(addr) {
             Some(conn) => conn,
             None => self.open(addr).await?,
         };
-        let result = conn.send(method, path, body, within).await;
+        let result = conn.send(method, path, headers, body, within).await;
         if matches!(result, Ok(_) | Err(CallError::Status(..))) {
             self.put(conn);
         }
@@ -192,7 +222,7 @@
         within: u64,
     ) -> Result<A, CallError> {
         let body = self
-            .send("POST", path, Bytes::from(encode(ask)), within)
+            .send("POST", path, &[], Bytes::from(encode(ask)), within)
             .await?;
         decode(&body).ok_or_else(|| CallError::NoAnswer("the answer cannot be read".into()))
     }
@@ -201,14 +231,21 @@
         &mut self,
         method: &str,
         path: &str,
+        headers: &[(&str, &str)],
         body: Bytes,
         within: u64,
     ) -> Result<Bytes, CallError> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header("host", "hollyreach")
-            .header("authorization", &*self.token)
+            .header("host", "hollyreach");
+        if !self.token.is_empty() {
+            request = request.header("authorization", &*self.token);
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
             .body(Full::new(body))
             .map_err(|e| CallError::NotSent(e.to_string().into()))?;
         let exchange = async {
@@ -230,7 +267,7 @@
             let body = body
                 .map_err(|e| CallError::NoAnswer(e.to_string().into()))?
                 .to_bytes();
-            if code == 200 {
+            if (200..300).contains(&code) {
                 Ok(body)
             } else {
                 Err(CallError::Status(code, body))
--- a/crates/pg/src/caller.rs
+++ b/crates/pg/src/caller.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::frame::{Frame, FrameError, cstr};
-use crate::io::{Io, Link};
+use link::{Io, Link};
 use crate::login::{Verifier, exchange};
 
 /// Longest start-up message.
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -6,13 +6,12 @@
 mod batch;
 mod caller;
 mod frame;
-mod io;
 mod login;
 mod upstream;
 
 pub use batch::{Collector, Progress, encode};
 pub use caller::{Caller, Greeting, error_frame, read_parse};
 pub use frame::{Frame, FrameError, frames, put_frame};
-pub use io::{Io, Link};
+pub use link::{Io, Link};
 pub use login::Verifier;
 pub use upstream::{Fence, Job, Login, LostError, Ran, Upstream, cancel, row_values};
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -14,7 +14,7 @@
 
 use crate::batch::{Progress, encode};
 use crate::frame::{Frame, frames};
-use crate::io::Link;
+use link::Link;
 
 /// Longest frame taken from an upstream.
 const FRAME_LIMIT: usize = 1 << 30;
--- /dev/null
+++ b/crates/proxy/src/conn.rs
@@ -0,0 +1,221 @@
+//! One connection to a member, and what stands on it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Ms;
+use bytes::BytesMut;
+use link::Link;
+use monoio::net::TcpStream;
+use quick_error::quick_error;
+
+use crate::{Command, Dialect, End, ErrorKind, Hello, Member, Part, Plan, Reply, WireError};
+
+/// Idle time after which the kernel probes a connection, in seconds.
+const PROBE_AFTER_S: u64 = 2;
+
+quick_error! {
+    /// Why a connection gave no answer; it is of no further use.
+    #[derive(Debug)]
+    pub enum Lost {
+        /// The transport failed.
+        Io(e: std::io::Error) { from() display("{e}") }
+        /// The member closed the connection.
+        Closed { display("closed by the member") }
+        /// The bytes are no message.
+        Wire(e: WireError) { from() display("{e}") }
+        /// No answer came in time.
+        Slow { display("no answer in time") }
+        /// The member refused the connection or the preparation of a statement.
+        Refused(kind: ErrorKind, text: Box<str>) { display("refused as {kind:?}: {text}") }
+    }
+}
+
+impl Lost {
+    /// Whether the transport says that nobody is there.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Lost::Closed | Lost::Io(_))
+    }
+}
+
+/// A connection to a member. Dropping it closes it.
+pub struct Conn {
+    /// The member at the other end.
+    pub member: Rc<Member>,
+    /// When it was opened; the member has not restarted since.
+    pub opened: Ms,
+    /// When it was last given back.
+    pub idle_since: Ms,
+    link: Link,
+    dialect: Dialect,
+    /// Session values set on it, by name, with the text that set them.
+    values: BTreeMap<Box<str>, Box<str>>,
+    /// Statements prepared on it, with the names they have here.
+    plans: HashMap<Plan, Box<str>>,
+}
+
+impl Conn {
+    /// Opens a connection and greets the member.
+    ///
+    /// # Errors
+    /// `Lost::Refused` when the member answers but does not take the connection.
+    pub async fn open(
+        member: Rc<Member>,
+        dialect: Dialect,
+        within: u64,
+    ) -> Result<Conn, Lost> {
+        let group = member.entry.borrow().group.clone();
+        let opened = Ms::now();
+        let connect = TcpStream::connect_addr(member.addr);
+        let stream = monoio::time::timeout(Duration::from_millis(within), connect)
+            .await
+            .map_err(|_| Lost::Slow)??;
+        let second = Duration::from_secs(1);
+        stream.set_tcp_keepalive(
+            Some(Duration::from_secs(PROBE_AFTER_S)),
+            Some(second),
+            Some(2),
+        )?;
+        member.open.set(member.open.get() + 1);
+        let mut conn = Conn {
+            link: Link::new(stream).inspect_err(|_| member.open.set(member.open.get() - 1))?,
+            member,
+            opened,
+            idle_since: opened,
+            dialect,
+            values: BTreeMap::new(),
+            plans: HashMap::new(),
+        };
+        let mut out = BytesMut::new();
+        let id = conn.member.id.clone();
+        let hello = Hello {
+            group: &group,
+            member: &id,
+        };
+        (dialect.hello)(&hello, &mut out);
+        let reply = conn.exchange(&out, within * 4).await?;
+        match reply.end {
+            End::Done(_) => Ok(conn),
+            End::Error(kind, text) => Err(Lost::Refused(kind, text)),
+        }
+    }
+
+    /// Runs one command.
+    ///
+    /// # Errors
+    /// After an error the connection must be dropped; the command may have run.
+    pub async fn run(&mut self, command: &Command<'_>, within: u64) -> Result<Reply, Lost> {
+        let mut out = BytesMut::new();
+        (self.dialect.command)(command, &mut out);
+        self.exchange(&out, within).await
+    }
+
+    async fn exchange(&mut self, out: &[u8], within: u64) -> Result<Reply, Lost> {
+        let member = self.member.clone();
+        member.asked(Ms::now());
+        let wait = Duration::from_millis(within);
+        let result = monoio::time::timeout(wait, self.talk(out)).await;
+        member.answered();
+        result.unwrap_or(Err(Lost::Slow))
+    }
+
+    async fn talk(&mut self, out: &[u8]) -> Result<Reply, Lost> {
+        self.link.send(out).await?;
+        let mut rows = Vec::new();
+        let mut end = None;
+        loop {
+            while let Some(part) = (self.dialect.part)(&mut self.link.input)? {
+                match part {
+                    Part::Row(row) => rows.push(row),
+                    Part::End(e) => end = Some(e),
+                    Part::Ready(state, pos) => {
+                        self.link.shrink();
+                        return Ok(Reply {
+                            rows,
+                            end: end.unwrap_or(End::Done(Box::from(""))),
+                            state,
+                            pos,
+                            greets: false,
+                        });
+                    }
+                }
+            }
+            let n = match self.link.fill().await {
+                Ok(n) => n,
+                // A refused greeting is followed by a close.
+                Err(e) => return self.refused_or(end, Lost::Io(e)),
+            };
+            if n == 0 {
+                return self.refused_or(end, Lost::Closed);
+            }
+            self.member.heard(Ms::now());
+        }
+    }
+
+    fn refused_or(&self, end: Option<End>, other: Lost) -> Result<Reply, Lost> {
+        match end {
+            Some(End::Error(kind, text)) => Err(Lost::Refused(kind, text)),
+            _ => Err(other),
+        }
+    }
+
+    /// Whether nothing has come and the member has not closed; does not wait.
+    pub async fn is_quiet(&mut self) -> bool {
+        self.link.is_quiet().await
+    }
+
+    /// Gives the connection a session's values, and a prepared statement if one is needed.
+    ///
+    /// # Errors
+    /// As `run`; nothing of the caller's has run.
+    pub async fn set_up(
+        &mut self,
+        values: &BTreeMap<Box<str>, Box<str>>,
+        plan: Option<&Plan>,
+        within: u64,
+    ) -> Result<(), Lost> {
+        if self.values.keys().any(|name| !values.contains_key(name)) {
+            self.must(&Command::Reset, within).await?;
+            self.values.clear();
+            self.plans.clear();
+        }
+        for (name, text) in values {
+            if self.values.get(name) != Some(text) {
+                self.must(&Command::Set { text }, within).await?;
+                self.values.insert(name.clone(), text.clone());
+            }
+        }
+        let Some(plan) = plan else { return Ok(()) };
+        if !self.plans.contains_key(plan) {
+            let name: Box<str> = format!("p{}", self.plans.len()).into();
+            let command = Command::Prepare { name: &name, plan };
+            self.must(&command, within).await?;
+            self.plans.insert(plan.clone(), name);
+        }
+        Ok(())
+    }
+
+    /// The name that a prepared statement has here.
+    pub fn plan_name(&self, plan: &Plan) -> Option<Box<str>> {
+        self.plans.get(plan).cloned()
+    }
+
+    /// Forgets what was prepared, after the member said that it does not know a name.
+    pub fn forget_plans(&mut self) {
+        self.plans.clear();
+    }
+
+    async fn must(&mut self, command: &Command<'_>, within: u64) -> Result<(), Lost> {
+        match self.run(command, within).await?.end {
+            End::Done(_) => Ok(()),
+            End::Error(kind, text) => Err(Lost::Refused(kind, text)),
+        }
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.member.open.set(self.member.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/group.rs
@@ -0,0 +1,547 @@
+//! One group: its members, the lease on its primary, and the statements that wait.
+
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+
+use base::{Event, Ms, Signal, emit};
+use schema::Pos;
+
+use crate::place::{Need, cost, may_hold};
+use crate::suspect::Sight;
+use crate::{
+    Conn, Dialect, Entry, GroupRule, History, Lost, Member, Rank, Reply, Role, Status, Word,
+    lease_until, predicted_wait,
+};
+
+/// Time to open a connection, in ms.
+const CONNECT_MS: u64 = 400;
+/// Pause after a failed attempt to open a connection, in ms.
+const RETRY_MS: u64 = 150;
+/// Connections of a member that are left to others, as a share: one in this many.
+const RESERVE_SHARE: u64 = 8;
+/// Connections to one member that a daemon keeps when idle.
+const KEEP: u64 = 2;
+/// Connections to one member that a daemon opens at most.
+const MOST: u64 = 8;
+/// Idle time after which a connection beyond those kept is closed, in ms.
+const TRIM_MS: u64 = 3000;
+
+/// A group of members.
+pub struct Group {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its settings.
+    pub rule: RefCell<GroupRule>,
+    /// Its members, those that have left included while a session holds a connection.
+    pub members: RefCell<Vec<Rc<Member>>>,
+    /// Confirmed positions of the primary.
+    pub history: RefCell<History>,
+    /// Notified when roles, the lease or the members change.
+    pub changed: Signal,
+    /// Since when no primary is known.
+    pub none_since: Cell<Ms>,
+    /// Oldest write that waits for its answer.
+    pub writes: RefCell<Vec<Ms>>,
+    /// Data centre of this VM.
+    pub(crate) home: Box<str>,
+    pub(crate) dialect: Dialect,
+    waiters: RefCell<Vec<Rc<Waiter>>>,
+    had_lease: Cell<bool>,
+    me: Weak<Group>,
+}
+
+struct Waiter {
+    rank: Rank,
+    need: Need,
+    /// Members that were tried in vain.
+    avoid: Vec<Box<str>>,
+    /// Filled by whoever has a connection to give.
+    given: RefCell<Option<Conn>>,
+    ready: Signal,
+}
+
+/// Why a statement got no connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The wait would be longer than the statement's time.
+    Full,
+    /// The time ran out.
+    Late,
+}
+
+impl Group {
+    /// An empty group.
+    pub fn new(rule: GroupRule, home: &str, dialect: Dialect) -> Rc<Group> {
+        Rc::new_cyclic(|me| Group {
+            name: rule.name.clone(),
+            rule: RefCell::new(rule),
+            members: RefCell::default(),
+            history: RefCell::default(),
+            changed: Signal::default(),
+            none_since: Cell::new(Ms::now()),
+            writes: RefCell::default(),
+            home: home.into(),
+            dialect,
+            waiters: RefCell::default(),
+            had_lease: Cell::new(false),
+            me: me.clone(),
+        })
+    }
+
+    /// Takes over what the platform lists; `None` as the new state means gone.
+    pub fn list(&self, id: &str, entry: Option<&Entry>) {
+        let known = self.member(id);
+        match (known, entry) {
+            (Some(member), Some(entry)) if member.addr == entry.addr => {
+                let born = member.entry.borrow().born;
+                if born != entry.born {
+                    member.word.set(None);
+                }
+                member.gone.set(false);
+                member.entry.replace(entry.clone());
+            }
+            (known, Some(entry)) => {
+                if let Some(old) = known {
+                    self.members.borrow_mut().retain(|m| !Rc::ptr_eq(m, &old));
+                    old.gone.set(true);
+                }
+                let member = Rc::new(Member::new(entry.clone()));
+                self.members.borrow_mut().push(member.clone());
+                self.ensure(&member);
+            }
+            (Some(member), None) => {
+                member.gone.set(true);
+                member.idle.borrow_mut().clear();
+                emit(
+                    Event::MemberGone,
+                    &[("group", &self.name), ("member", &member.id)],
+                );
+            }
+            (None, None) => return,
+        }
+        if let Some(entry) = entry {
+            emit(
+                Event::MemberSeen,
+                &[
+                    ("group", &self.name),
+                    ("member", &entry.id),
+                    ("draining", &entry.draining),
+                    ("role", &format!("{:?}", entry.role)),
+                    ("born", &entry.born),
+                ],
+            );
+        }
+        self.notify();
+    }
+
+    /// The member with an identifier.
+    pub fn member(&self, id: &str) -> Option<Rc<Member>> {
+        let members = self.members.borrow();
+        members.iter().find(|m| &*m.id == id).cloned()
+    }
+
+    /// Members that the platform lists.
+    pub fn listed(&self) -> Vec<Rc<Member>> {
+        let members = self.members.borrow();
+        members.iter().filter(|m| !m.gone.get()).cloned().collect()
+    }
+
+    /// Newest term that any member has told.
+    pub fn newest_term(&self) -> u64 {
+        let members = self.members.borrow();
+        let words = members.iter().filter_map(|m| m.word.get());
+        words.map(|w| w.term).max().unwrap_or(0)
+    }
+
+    /// The member that says it is the primary of the newest term.
+    pub fn primary(&self) -> Option<Rc<Member>> {
+        let term = self.newest_term();
+        let leads = |m: &&Rc<Member>| {
+            let word = m.word.get();
+            word.is_some_and(|w| w.role == Role::Primary && w.term == term)
+        };
+        self.members.borrow().iter().find(leads).cloned()
+    }
+
+    /// The instant until which the primary may be used.
+    pub fn lease(&self) -> Ms {
+        let members = self.members.borrow();
+        let words: Vec<Word> = members.iter().filter_map(|m| m.word.get()).collect();
+        lease_until(self.newest_term(), &words)
+    }
+
+    /// What is seen of the primary, for the decision on a change.
+    pub fn sight(&self) -> Sight {
+        let primary = self.primary();
+        let listed = self.listed();
+        let replicas = listed
+            .iter()
+            .filter(|m| m.down.get().is_none() && m.word.get().is_some());
+        let oldest = self.writes.borrow().iter().min().copied();
+        Sight {
+            has_primary: primary.is_some(),
+            none_since: self.none_since.get(),
+            draining: primary.as_ref().is_some_and(|p| p.entry.borrow().draining),
+            gone: primary.as_ref().is_some_and(|p| p.gone.get()),
+            down: primary.as_ref().and_then(|p| p.down.get()),
+            refused: primary.as_ref().is_some_and(|p| p.refused.get()),
+            stuck: oldest,
+            replicas: replicas.count().saturating_sub(1),
+        }
+    }
+
+    /// Takes over what a member said of itself on a connection.
+    pub fn on_status(&self, member: &Member, status: &Status, asked: Ms, up_since: Ms) {
+        let before = member.word.get();
+        member.status.set(Some(*status));
+        member.word.set(Some(Word {
+            asked,
+            role: status.role,
+            term: status.term,
+            fenced: status.fenced > 0,
+            up_since,
+        }));
+        let same = before.is_some_and(|w| w.role == status.role && w.term == status.term);
+        if !same {
+            emit(
+                Event::MemberSeen,
+                &[
+                    ("group", &self.name),
+                    ("member", &member.id),
+                    ("role", &format!("{:?}", status.role)),
+                    ("term", &status.term),
+                    ("received", &status.received),
+                    ("fenced", &status.fenced),
+                ],
+            );
+        }
+        if self.primary().is_some() {
+            self.none_since.set(Ms::now());
+        }
+        let holds = self.lease().left() > 0;
+        if holds != self.had_lease.replace(holds) {
+            let event = if holds {
+                Event::LeaseBack
+            } else {
+                Event::LeaseLost
+            };
+            emit(event, &[("group", &self.name), ("member", &member.id)]);
+        }
+        self.notify();
+    }
+
+    /// Takes over the position in an answer to a question sent at `asked`.
+    pub fn on_reply(&self, member: &Rc<Member>, asked: Ms, reply: &Reply) {
+        let Some(pos) = reply.pos else { return };
+        member.pos.set(member.pos.get().max(pos));
+        let leads = self.primary().is_some_and(|p| Rc::ptr_eq(&p, member));
+        if leads && pos.term == self.newest_term() && asked <= self.lease() {
+            self.history.borrow_mut().add(asked, pos);
+        }
+    }
+
+    fn fits(&self, member: &Member, need: Need, now: Ms) -> bool {
+        match need {
+            Need::Primary(arrival) => {
+                let lease = self.lease();
+                lease >= arrival && lease > now && self.primary().is_some_and(|p| p.id == member.id)
+            }
+            Need::Holds(pos) => {
+                member.is_serving() && may_hold(member, pos, now) && member.full_until.get() <= now
+            }
+        }
+    }
+
+    /// Gets a connection to a member that fits, waiting its turn.
+    ///
+    /// # Errors
+    /// Tells why there is none.
+    pub async fn acquire(
+        &self,
+        need: Need,
+        rank: Rank,
+        avoid: Vec<Box<str>>,
+    ) -> Result<Conn, Refusal> {
+        if let Some(conn) = self.take(need, &avoid).await {
+            return Ok(conn);
+        }
+        let now = Ms::now();
+        if rank.until <= now {
+            return Err(Refusal::Late);
+        }
+        if self.wait_ahead(need, &rank, now) > f64::from(u32::try_from(rank.until.left()).unwrap_or(u32::MAX)) {
+            return Err(Refusal::Full);
+        }
+        let waiter = Rc::new(Waiter {
+            rank,
+            need,
+            avoid,
+            given: RefCell::default(),
+            ready: Signal::default(),
+        });
+        self.waiters.borrow_mut().push(waiter.clone());
+        let _leave = Leave(self, waiter.clone());
+        self.open_for(need);
+        let seen = waiter.ready.count();
+        let wait = std::time::Duration::from_millis(rank.until.left());
+        let _ = monoio::time::timeout(wait, waiter.ready.wait_past(seen)).await;
+        let given = waiter.given.borrow_mut().take();
+        given.ok_or(Refusal::Late)
+    }
+
+    fn wait_ahead(&self, need: Need, rank: &Rank, now: Ms) -> f64 {
+        let waiters = self.waiters.borrow();
+        let before = |w: &&Rc<Waiter>| w.rank.key(now) <= rank.key(now);
+        let same = |w: &&Rc<Waiter>| {
+            matches!(w.need, Need::Primary(_)) || matches!(need, Need::Holds(_))
+        };
+        let ahead = waiters.iter().filter(before).filter(same).count();
+        let members = self.members.borrow();
+        let fitting = members.iter().filter(|m| self.fits(m, need, now));
+        let (mut conns, mut service) = (0, 0.0_f64);
+        for member in fitting {
+            conns += member.open.get();
+            service = service.max(member.cost(now));
+        }
+        predicted_wait(ahead, conns, service)
+    }
+
+    /// Takes an idle connection to the cheapest member that fits.
+    async fn take(&self, need: Need, avoid: &[Box<str>]) -> Option<Conn> {
+        loop {
+            let now = Ms::now();
+            let best = {
+                let members = self.members.borrow();
+                let able = members.iter().filter(|m| {
+                    !m.idle.borrow().is_empty()
+                        && !avoid.contains(&m.id)
+                        && self.fits(m, need, now)
+                });
+                able.min_by(|a, b| cost(a, &self.home, now).total_cmp(&cost(b, &self.home, now)))
+                    .cloned()
+            };
+            let best = best?;
+            let conn = best.idle.borrow_mut().pop();
+            let Some(mut conn) = conn else { continue };
+            if conn.is_quiet().await {
+                return Some(conn);
+            }
+        }
+    }
+
+    /// Gives a connection back; the first waiter that it fits gets it.
+    pub fn put(&self, mut conn: Conn) {
+        let member = conn.member.clone();
+        if member.gone.get() {
+            return;
+        }
+        conn.idle_since = Ms::now();
+        member.idle.borrow_mut().push(conn);
+        self.pump();
+    }
+
+    /// Hands idle connections to waiters, in order.
+    pub fn pump(&self) {
+        if self.waiters.borrow().is_empty() {
+            return;
+        }
+        let now = Ms::now();
+        let mut order = self.waiters.borrow().clone();
+        order.sort_by_key(|w| w.rank.key(now));
+        let members = self.members.borrow().clone();
+        for waiter in order {
+            if waiter.given.borrow().is_some() {
+                continue;
+            }
+            let able = members.iter().filter(|m| {
+                !m.idle.borrow().is_empty()
+                    && !waiter.avoid.contains(&m.id)
+                    && self.fits(m, waiter.need, now)
+            });
+            let best =
+                able.min_by(|a, b| cost(a, &self.home, now).total_cmp(&cost(b, &self.home, now)));
+            let Some(best) = best else { continue };
+            *waiter.given.borrow_mut() = best.idle.borrow_mut().pop();
+            self.waiters.borrow_mut().retain(|w| !Rc::ptr_eq(w, &waiter));
+            waiter.ready.notify();
+        }
+    }
+
+    /// Tells waiters and tasks that something has changed.
+    pub fn notify(&self) {
+        self.pump();
+        self.changed.notify();
+    }
+
+    fn open_for(&self, need: Need) {
+        let now = Ms::now();
+        let members = self.members.borrow().clone();
+        for member in members.iter().filter(|m| self.fits(m, need, now)) {
+            if self.may_open(member) {
+                self.open(member);
+            }
+        }
+    }
+
+    /// Whether another connection leaves enough for the other daemons.
+    fn may_open(&self, member: &Member) -> bool {
+        let own = member.open.get();
+        if member.opening.get() || member.gone.get() || member.retry_at.get().left() > 0 {
+            return false;
+        }
+        let most = self.rule.borrow().conns;
+        let used = member.status.get().map_or(0, |s| s.conns);
+        match own {
+            0 => true,
+            1 => used + 1 < most,
+            n => n < MOST && used + most / RESERVE_SHARE < most * 3 / 4,
+        }
+    }
+
+    /// Keeps at least one connection to a member.
+    pub fn ensure(&self, member: &Rc<Member>) {
+        if member.open.get() == 0 && self.may_open(member) {
+            self.open(member);
+        }
+    }
+
+    fn open(&self, member: &Rc<Member>) {
+        let Some(group) = self.me.upgrade() else { return };
+        member.opening.set(true);
+        let member = member.clone();
+        monoio::spawn(async move {
+            let result = Conn::open(member.clone(), group.dialect, CONNECT_MS).await;
+            member.opening.set(false);
+            match result {
+                Ok(conn) => group.opened(conn).await,
+                Err(e) => group.not_opened(&member, &e),
+            }
+        });
+    }
+
+    async fn opened(&self, mut conn: Conn) {
+        let member = conn.member.clone();
+        if member.down.replace(None).is_some() {
+            emit(
+                Event::MemberBack,
+                &[("group", &self.name), ("member", &member.id)],
+            );
+        }
+        match self.ask(&mut conn, &crate::Command::Status, CONNECT_MS).await {
+            Ok(_) => self.put(conn),
+            Err(e) => self.not_opened(&member, &e),
+        }
+    }
+
+    fn not_opened(&self, member: &Rc<Member>, e: &Lost) {
+        let now = Ms::now();
+        member.retry_at.set(now.plus(RETRY_MS));
+        if let Lost::Refused(..) = e {
+            return;
+        }
+        member.refused.set(e.is_refused());
+        if member.down.get().is_none() {
+            member.down.set(Some(now));
+            emit(
+                Event::MemberLost,
+                &[
+                    ("group", &self.name),
+                    ("member", &member.id),
+                    ("cause", e),
+                ],
+            );
+        }
+        self.notify();
+    }
+
+    /// Notes that a connection in use was lost.
+    pub fn on_lost(&self, member: &Rc<Member>, e: &Lost) {
+        if e.is_refused() {
+            // Others to the same member are likely to be lost too; the next attempt tells.
+            self.ensure(member);
+        }
+    }
+
+    /// Asks a member of itself, or orders it something that is answered in the same way.
+    ///
+    /// # Errors
+    /// As `Conn::run`; `Lost::Refused` when it has no room.
+    pub async fn ask(
+        &self,
+        conn: &mut Conn,
+        command: &crate::Command<'_>,
+        within: u64,
+    ) -> Result<Status, Lost> {
+        let asked = Ms::now();
+        let reply = conn.run(command, within).await?;
+        let row = reply.rows.first();
+        let status = row.and_then(|row| (self.dialect.status)(row));
+        let Some(status) = status else {
+            return Err(match reply.end {
+                crate::End::Error(kind, text) => Lost::Refused(kind, text),
+                crate::End::Done(_) => Lost::Wire(crate::WireError::Malformed),
+            });
+        };
+        let member = conn.member.clone();
+        self.on_status(&member, &status, asked, conn.opened);
+        self.on_reply(&member, asked, &reply);
+        Ok(status)
+    }
+
+    /// Takes a connection for a question of the daemon's own, opening one if none is idle.
+    ///
+    /// # Errors
+    /// As `Conn::open`.
+    pub async fn control(&self, member: &Rc<Member>) -> Result<Conn, Lost> {
+        loop {
+            let conn = member.idle.borrow_mut().pop();
+            let Some(mut conn) = conn else { break };
+            if conn.is_quiet().await {
+                return Ok(conn);
+            }
+        }
+        Conn::open(member.clone(), self.dialect, CONNECT_MS).await
+    }
+
+    /// Closes connections that have been idle for long, beyond those kept.
+    pub fn trim(&self) {
+        for member in self.members.borrow().iter() {
+            let mut idle = member.idle.borrow_mut();
+            while member.open.get() > KEEP
+                && idle.first().is_some_and(|c| c.idle_since.elapsed() > TRIM_MS)
+            {
+                idle.remove(0);
+            }
+        }
+        self.members
+            .borrow_mut()
+            .retain(|m| !m.gone.get() || m.open.get() > 0);
+    }
+
+    /// Statements that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiters.borrow().len()
+    }
+
+    /// A position that any read of this session may be served at, for logs.
+    pub fn newest_pos(&self) -> Pos {
+        let members = self.members.borrow();
+        members.iter().map(|m| m.pos.get()).max().unwrap_or(Pos::ZERO)
+    }
+}
+
+/// Removes a waiter when its statement stops waiting, and gives back what it did not use.
+struct Leave<'a>(&'a Group, Rc<Waiter>);
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        let waiter = &self.1;
+        self.0
+            .waiters
+            .borrow_mut()
+            .retain(|w| !Rc::ptr_eq(w, waiter));
+        if let Some(conn) = waiter.given.borrow_mut().take() {
+            self.0.put(conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,38 @@
+//! Serves callers' sessions from groups of replicated databases.
+//!
+//! Decisions (`lease`, `history`, `queue`, `place`, `suspect`) are plain functions of what is known
+//! and of an instant; everything that reads or writes a socket calls them. No wire protocol and no
+//! platform is named here: both come in as structs of functions.
+
+mod answer;
+mod conn;
+mod dialect;
+mod directory;
+mod exec;
+mod group;
+mod history;
+mod keeper;
+mod lease;
+mod member;
+mod place;
+mod queue;
+mod session;
+mod state;
+mod statement;
+mod suspect;
+mod transaction;
+mod warden;
+
+pub use answer::{End, ErrorKind, Part, Reply, TxState};
+pub use conn::{Conn, Lost};
+pub use dialect::{Command, Dialect, Hello, Role, Status, WireError};
+pub use directory::{Config, Entry, Freshness, GroupRule, Route};
+pub use group::Group;
+pub use history::History;
+pub use lease::{Word, lease_until};
+pub use member::Member;
+pub use queue::{Rank, predicted_wait};
+pub use session::serve;
+pub use state::{Orders, Proxy, Settings, Token};
+pub use statement::{Plan, Request, Statement, Verb};
+pub use suspect::{Cause, Sight, suspect};
--- /dev/null
+++ b/crates/proxy/src/member.rs
@@ -0,0 +1,125 @@
+//! What a daemon knows of one member, and its connections to it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+
+use base::Ms;
+use schema::Pos;
+
+use crate::{Conn, Entry, Status, Word};
+
+/// Weight of the newest sample in the mean time of a statement.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// Time after which half of a mean's distance to the start value is forgotten, in ms.
+const FORGET_MS: f64 = 2000.0;
+/// Mean time of a statement that is assumed at first, in ms.
+const FIRST_COST_MS: f64 = 12.0;
+
+/// A member of a group.
+pub struct Member {
+    /// Its identifier.
+    pub id: Box<str>,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// What the platform lists.
+    pub entry: RefCell<Entry>,
+    /// Whether the platform no longer lists it; it then gets no new work.
+    pub gone: Cell<bool>,
+    /// What it said last of itself.
+    pub word: Cell<Option<Word>>,
+    /// The status that the word came from.
+    pub status: Cell<Option<Status>>,
+    /// Newest position that it answered with.
+    pub pos: Cell<Pos>,
+    /// Connections that no session holds, the newest last.
+    pub(crate) idle: RefCell<Vec<Conn>>,
+    /// Connections open, idle ones included.
+    pub(crate) open: Cell<u64>,
+    /// Whether a connection is being opened.
+    pub(crate) opening: Cell<bool>,
+    /// Instant before which none is opened.
+    pub(crate) retry_at: Cell<Ms>,
+    /// Since when connections fail at the transport, if they do.
+    pub(crate) down: Cell<Option<Ms>>,
+    /// Whether the latest failure was a refused or reset connection.
+    pub(crate) refused: Cell<bool>,
+    /// Statements that wait for its answer.
+    pub(crate) running: Cell<u64>,
+    /// When it was last heard, or a question was sent to it while none was waiting.
+    pub(crate) quiet_since: Cell<Ms>,
+    /// When it last said that it lacks a position.
+    pub(crate) behind_at: Cell<Ms>,
+    /// Instant before which it gets no reads, since it had no room.
+    pub(crate) full_until: Cell<Ms>,
+    cost: Cell<(Ms, f64)>,
+}
+
+impl Member {
+    /// A member as listed.
+    pub fn new(entry: Entry) -> Member {
+        Member {
+            id: entry.id.clone(),
+            addr: entry.addr,
+            entry: RefCell::new(entry),
+            gone: Cell::new(false),
+            word: Cell::new(None),
+            status: Cell::new(None),
+            pos: Cell::new(Pos::ZERO),
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            opening: Cell::new(false),
+            retry_at: Cell::new(Ms(0)),
+            down: Cell::new(None),
+            refused: Cell::new(false),
+            running: Cell::new(0),
+            quiet_since: Cell::new(Ms(0)),
+            behind_at: Cell::new(Ms(0)),
+            full_until: Cell::new(Ms(0)),
+            cost: Cell::new((Ms(0), FIRST_COST_MS)),
+        }
+    }
+
+    /// Whether it may get new work that a replica can do.
+    pub fn is_serving(&self) -> bool {
+        !self.gone.get() && !self.entry.borrow().draining
+    }
+
+    /// Counts the time that a statement took.
+    pub(crate) fn took(&self, ms: u64, now: Ms) {
+        let sample = f64::from(u32::try_from(ms).unwrap_or(u32::MAX));
+        let mean = self.cost(now);
+        self.cost
+            .set((now, mean + (sample - mean) * NEWEST_WEIGHT));
+    }
+
+    /// Mean time of a statement in ms; old samples fade.
+    pub fn cost(&self, now: Ms) -> f64 {
+        let (at, mean) = self.cost.get();
+        let age = f64::from(u32::try_from(now.0.saturating_sub(at.0)).unwrap_or(u32::MAX));
+        let kept = 0.5_f64.powf(age / FORGET_MS);
+        FIRST_COST_MS + (mean - FIRST_COST_MS) * kept
+    }
+
+    /// Time that a question has waited without any sign of life, in ms.
+    pub fn silent_for(&self, now: Ms) -> u64 {
+        if self.running.get() == 0 {
+            return 0;
+        }
+        now.0.saturating_sub(self.quiet_since.get().0)
+    }
+
+    pub(crate) fn heard(&self, now: Ms) {
+        self.quiet_since.set(now);
+        self.down.set(None);
+    }
+
+    pub(crate) fn asked(&self, now: Ms) {
+        if self.running.replace(self.running.get() + 1) == 0 {
+            self.quiet_since.set(now);
+        }
+    }
+
+    pub(crate) fn answered(&self) {
+        self.running.set(self.running.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/place.rs
@@ -0,0 +1,56 @@
+//! Where a statement may run.
+
+use base::Ms;
+use schema::Pos;
+
+use crate::{Freshness, History, Member, Role};
+
+/// Time for which a replica that lacked a position is not asked for a newer one, in ms.
+const BEHIND_MS: u64 = 15;
+/// How much dearer the primary counts for a read that a replica can serve.
+const PRIMARY_WEIGHT: f64 = 1.6;
+/// How much dearer a member of another data centre counts.
+const FAR_WEIGHT: f64 = 1.15;
+
+/// What the member must be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Need {
+    /// The primary, under a lease that covers this instant.
+    Primary(Ms),
+    /// Any member whose log contains this position.
+    Holds(Pos),
+}
+
+/// What a read needs, or `None` when no known position is fresh enough.
+pub fn read_need(
+    freshness: Freshness,
+    arrival: Ms,
+    own: Pos,
+    history: &History,
+) -> Option<Need> {
+    let floor = |age: u64| history.floor(Ms(arrival.0.saturating_sub(age)));
+    match freshness {
+        Freshness::Newest => Some(Need::Primary(arrival)),
+        Freshness::OwnWrites { max_age } => Some(Need::Holds(floor(max_age)?.max(own))),
+        Freshness::Aged { max_age } => Some(Need::Holds(floor(max_age)?)),
+    }
+}
+
+/// Whether a member that said it lacks a position may hold this one by now.
+pub fn may_hold(member: &Member, pos: Pos, now: Ms) -> bool {
+    member.pos.get() >= pos || member.behind_at.get().plus(BEHIND_MS) <= now
+}
+
+/// Expected time of a read at a member, weighted; the smallest is asked.
+pub fn cost(member: &Member, home: &str, now: Ms) -> f64 {
+    let running = f64::from(u32::try_from(member.running.get()).unwrap_or(u32::MAX));
+    let slots = f64::from(u32::try_from(member.entry.borrow().slots.max(1)).unwrap_or(1));
+    let mut cost = member.cost(now) * (1.0 + running / slots);
+    if member.word.get().is_some_and(|w| w.role == Role::Primary) {
+        cost *= PRIMARY_WEIGHT;
+    }
+    if &*member.entry.borrow().data_center != home {
+        cost *= FAR_WEIGHT;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/proxy/src/session.rs
@@ -0,0 +1,322 @@
+//! One caller's session, from its greeting to its end.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Event, Ms, emit};
+use bytes::BytesMut;
+use link::Link;
+use schema::Pos;
+
+use crate::exec::{Context, Work, single};
+use crate::transaction::Transaction;
+use crate::{Dialect, End, ErrorKind, Plan, Proxy, Reply, Request, Statement, TxState, Verb};
+
+/// Time a caller has for its greeting, in ms.
+const GREETING_MS: u64 = 10_000;
+/// Time a new session waits for the first configuration, in ms.
+const CONFIG_MS: u64 = 1500;
+
+/// Session values by name, with the text that set them.
+pub type Values = BTreeMap<Box<str>, Box<str>>;
+
+struct Session {
+    database: Box<str>,
+    values: Values,
+    /// Prepared statements by the caller's names.
+    plans: BTreeMap<Box<str>, Plan>,
+    /// Newest position that the session has written.
+    own: Pos,
+    /// Position shown in answers that no member gave.
+    shown: Option<Pos>,
+    /// The open transaction; `Failed` without one after it was ended.
+    tx: Option<Transaction>,
+    state: TxState,
+}
+
+/// What the next message of the caller is, or that there is none.
+enum Next {
+    Request(Request),
+    Idle,
+    End,
+}
+
+/// Serves one caller until it leaves or the daemon stops.
+pub async fn serve(proxy: Rc<Proxy>, mut link: Link) {
+    proxy.sessions.set(proxy.sessions.get() + 1);
+    if let Some(mut session) = greet(&proxy, &mut link).await {
+        session.run(&proxy, &mut link).await;
+        if let Some(tx) = session.tx.take()
+            && let Some((_, group)) = proxy.route(&session.database)
+        {
+            tx.roll_back(&group).await;
+        }
+    }
+    proxy.sessions.set(proxy.sessions.get() - 1);
+}
+
+async fn greet(proxy: &Rc<Proxy>, link: &mut Link) -> Option<Session> {
+    let wait = Duration::from_millis(GREETING_MS);
+    let first = monoio::time::timeout(wait, next(proxy.dialect, link));
+    let Ok(Next::Request(Request::Hello { database })) = first.await else {
+        return refuse(proxy, link, ErrorKind::Malformed, "a session begins with its database").await;
+    };
+    if proxy.sessions.get() > proxy.settings.callers {
+        return refuse(proxy, link, ErrorKind::TooMany, "too many sessions").await;
+    }
+    if !proxy.configured(Ms::now().plus(CONFIG_MS)).await {
+        return refuse(proxy, link, ErrorKind::Busy, "no configuration yet").await;
+    }
+    if proxy.route(&database).is_none() {
+        return refuse(proxy, link, ErrorKind::NoDatabase, &database).await;
+    }
+    let session = Session {
+        database,
+        values: Values::new(),
+        plans: BTreeMap::new(),
+        own: Pos::ZERO,
+        shown: None,
+        tx: None,
+        state: TxState::Idle,
+    };
+    let mut out = BytesMut::new();
+    (proxy.dialect.reply)(&Reply::greeting(), &mut out);
+    link.send(&out).await.ok()?;
+    Some(session)
+}
+
+async fn refuse(
+    proxy: &Rc<Proxy>,
+    link: &mut Link,
+    kind: ErrorKind,
+    text: &str,
+) -> Option<Session> {
+    emit(
+        Event::SessionRefused,
+        &[("kind", &format!("{kind:?}")), ("cause", &text)],
+    );
+    let mut out = BytesMut::new();
+    (proxy.dialect.reply)(&Reply::refusal(kind, text), &mut out);
+    // The caller may be gone already; there is nobody else to tell.
+    let _ = link.send(&out).await;
+    let _ = link.shut_down().await;
+    None
+}
+
+async fn next(dialect: Dialect, link: &mut Link) -> Next {
+    loop {
+        match (dialect.request)(&mut link.input) {
+            Ok(Some(request)) => return Next::Request(request),
+            Ok(None) => {}
+            Err(e) => {
+                return Next::Request(Request::Unknown {
+                    fault: e.to_string().into(),
+                });
+            }
+        }
+        match link.fill().await {
+            Ok(n) if n > 0 => {}
+            _ => return Next::End,
+        }
+    }
+}
+
+impl Session {
+    async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut Link) {
+        let mut out = BytesMut::new();
+        loop {
+            if proxy.closing.get() && self.state == TxState::Idle && link.input.is_empty() {
+                return;
+            }
+            link.shrink();
+            let request = match self.wait(proxy, link).await {
+                Next::Request(request) => request,
+                Next::Idle => {
+                    self.end_idle(proxy).await;
+                    continue;
+                }
+                Next::End => return,
+            };
+            let reply = match request {
+                Request::Close => return,
+                Request::Run(statement) => self.statement(proxy, &statement).await,
+                Request::Hello { .. } => self.malformed("the session has begun"),
+                Request::Unknown { fault } => self.malformed(&fault),
+            };
+            out.clear();
+            (proxy.dialect.reply)(&reply, &mut out);
+            if link.send(&out).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for the next message, for the end of an idle transaction, or for the daemon to stop.
+    async fn wait(&self, proxy: &Rc<Proxy>, link: &mut Link) -> Next {
+        let seen = proxy.stop.count();
+        if proxy.closing.get() && self.state == TxState::Idle {
+            return next(proxy.dialect, link).await;
+        }
+        let idle = if self.tx.is_some() {
+            proxy.tx_idle.get()
+        } else {
+            u64::from(u32::MAX)
+        };
+        let idle = Duration::from_millis(idle.min(u64::from(u32::MAX)));
+        monoio::select! {
+            request = next(proxy.dialect, link) => request,
+            () = monoio::time::sleep(idle) => Next::Idle,
+            () = proxy.stop.wait_past(seen) => {
+                if self.state == TxState::Idle && link.input.is_empty() { Next::End } else { Next::Idle }
+            }
+        }
+    }
+
+    /// Ends a transaction that rests for too long; the caller learns it with its next statement.
+    async fn end_idle(&mut self, proxy: &Rc<Proxy>) {
+        if proxy.closing.get() {
+            return;
+        }
+        let Some(tx) = self.tx.take() else { return };
+        if let Some((_, group)) = proxy.route(&self.database) {
+            tx.roll_back(&group).await;
+        }
+    }
+
+    fn malformed(&self, text: &str) -> Reply {
+        self.local(Reply::error(ErrorKind::Malformed, text))
+    }
+
+    /// Fills in what only the session knows.
+    fn local(&self, reply: Reply) -> Reply {
+        Reply {
+            state: self.state,
+            pos: reply.pos.or(self.shown),
+            ..reply
+        }
+    }
+
+    async fn statement(&mut self, proxy: &Rc<Proxy>, statement: &Statement) -> Reply {
+        let arrival = Ms::now();
+        let ends = matches!(statement.verb, Verb::Commit | Verb::Rollback);
+        if self.state == TxState::Failed && !ends {
+            return self.malformed("the transaction has failed");
+        }
+        if self.state == TxState::Open && self.tx.is_none() && !ends {
+            self.state = TxState::Failed;
+            return self.local(Reply::error(ErrorKind::Aborted, "the transaction rested too long"));
+        }
+        match &statement.verb {
+            Verb::Begin { read } => {
+                if self.state != TxState::Idle {
+                    return self.malformed("a transaction is open");
+                }
+                self.tx = Some(Transaction::new(*read, arrival));
+                self.state = TxState::Open;
+                self.local(Reply::plain())
+            }
+            Verb::Set { name } => {
+                self.values.insert(name.clone(), statement.text.clone());
+                self.local(Reply::plain())
+            }
+            Verb::Prepare { name, plan } => {
+                self.plans.insert(name.clone(), plan.clone());
+                self.local(Reply::plain())
+            }
+            Verb::Forget { name } => {
+                self.plans.remove(name);
+                self.local(Reply::plain())
+            }
+            Verb::Rollback => self.roll_back(proxy).await,
+            Verb::Commit => self.commit(proxy, statement, arrival).await,
+            Verb::Read | Verb::Write => {
+                let work = Work {
+                    statement,
+                    plan: None,
+                    write: statement.verb == Verb::Write,
+                    arrival,
+                };
+                self.work(proxy, work).await
+            }
+            Verb::Execute { name, args } => {
+                let Some(plan) = self.plans.get(name).cloned() else {
+                    return self.local(Reply::error(ErrorKind::NoStatement, name));
+                };
+                let work = Work {
+                    statement,
+                    plan: Some((&plan, args)),
+                    write: plan.write,
+                    arrival,
+                };
+                self.work(proxy, work).await
+            }
+        }
+    }
+
+    async fn roll_back(&mut self, proxy: &Rc<Proxy>) -> Reply {
+        if let Some(tx) = self.tx.take()
+            && let Some((_, group)) = proxy.route(&self.database)
+        {
+            tx.roll_back(&group).await;
+        }
+        self.state = TxState::Idle;
+        self.local(Reply::plain())
+    }
+
+    async fn commit(&mut self, proxy: &Rc<Proxy>, statement: &Statement, arrival: Ms) -> Reply {
+        let failed = self.state == TxState::Failed;
+        self.state = TxState::Idle;
+        let Some(tx) = self.tx.take().filter(|_| !failed) else {
+            return self.local(Reply::error(ErrorKind::Aborted, "nothing is kept"));
+        };
+        let Some((route, group)) = proxy.route(&self.database) else {
+            return self.local(Reply::error(ErrorKind::NoDatabase, &self.database));
+        };
+        let work = Work {
+            statement,
+            plan: None,
+            write: false,
+            arrival,
+        };
+        let cx = Context {
+            group: &group,
+            route: &route,
+            own: self.own,
+            until: arrival.plus(route.timeout),
+        };
+        let reply = tx.commit(&cx, &work, &self.values).await;
+        self.took(&reply, true);
+        self.local(reply)
+    }
+
+    async fn work(&mut self, proxy: &Rc<Proxy>, work: Work<'_>) -> Reply {
+        let Some((route, group)) = proxy.route(&self.database) else {
+            return self.local(Reply::error(ErrorKind::NoDatabase, &self.database));
+        };
+        let cx = Context {
+            group: &group,
+            route: &route,
+            own: self.own,
+            until: work.arrival.plus(route.timeout),
+        };
+        let reply = match self.tx.as_mut() {
+            Some(tx) => tx.run(&cx, &work, &self.values).await,
+            None => single(&cx, &work, &self.values).await,
+        };
+        if self.tx.is_some() && reply.kind().is_some() {
+            self.tx = None;
+            self.state = TxState::Failed;
+        }
+        self.took(&reply, work.write && self.tx.is_none());
+        self.local(reply)
+    }
+
+    fn took(&mut self, reply: &Reply, committed: bool) {
+        let Some(pos) = reply.pos else { return };
+        self.shown = Some(pos);
+        if committed && matches!(reply.end, End::Done(_)) {
+            self.own = self.own.max(pos);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/state.rs
@@ -0,0 +1,187 @@
+//! What one daemon holds.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use base::{Event, Ms, Signal, emit};
+
+use crate::{Config, Dialect, Entry, Group, Route, keeper, warden};
+
+/// A number that grows whenever the right to order changes of primary passes on.
+pub type Token = u64;
+/// An answer that is waited for.
+pub type Waiting<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// Calls by which a change of primary is ordered.
+pub struct Orders {
+    /// Takes the right to change the primary of a group; `None` when another daemon holds it.
+    pub claim: Box<dyn Fn(Box<str>) -> Waiting<Option<Token>>>,
+    /// Says that a change of a group is over.
+    pub release: Box<dyn Fn(Box<str>) -> Waiting<()>>,
+    /// Orders the promotion of a member of a group under a token; false when it was refused.
+    pub promote: Box<dyn Fn(Box<str>, Box<str>, Token) -> Waiting<bool>>,
+}
+
+/// Settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of its VM.
+    pub name: Box<str>,
+    /// Its data centre.
+    pub data_center: Box<str>,
+    /// Caller connections at once.
+    pub callers: u64,
+}
+
+/// One daemon.
+pub struct Proxy {
+    /// Its settings.
+    pub settings: Settings,
+    /// The protocol of callers and members.
+    pub dialect: Dialect,
+    /// How changes of primary are ordered.
+    pub orders: Orders,
+    /// Version of the configuration in force; it never falls.
+    pub version: Cell<u64>,
+    /// Rules by database.
+    pub routes: RefCell<HashMap<Box<str>, Rc<Route>>>,
+    /// Groups by name.
+    pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
+    /// Time after which an idle transaction is ended, in ms.
+    pub tx_idle: Cell<u64>,
+    /// Open sessions.
+    pub sessions: Cell<u64>,
+    /// Whether sessions end at their next boundary.
+    pub closing: Cell<bool>,
+    /// Notified when `closing` is set.
+    pub stop: Signal,
+    /// Entries of groups that no configuration names yet.
+    early: RefCell<HashMap<Box<str>, Entry>>,
+}
+
+impl Proxy {
+    /// A daemon that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Dialect, orders: Orders) -> Rc<Proxy> {
+        Rc::new(Proxy {
+            settings,
+            dialect,
+            orders,
+            version: Cell::new(0),
+            routes: RefCell::default(),
+            groups: RefCell::default(),
+            tx_idle: Cell::new(u64::MAX),
+            sessions: Cell::new(0),
+            closing: Cell::new(false),
+            stop: Signal::default(),
+            early: RefCell::default(),
+        })
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn configure(self: &Rc<Self>, config: Config) {
+        if config.version <= self.version.get() {
+            return;
+        }
+        for rule in &config.groups {
+            self.add_group(rule);
+        }
+        let routes: HashMap<_, _> = config
+            .routes
+            .into_iter()
+            .map(|r| (r.database.clone(), Rc::new(r)))
+            .collect();
+        emit(
+            Event::RoutesInForce,
+            &[
+                ("version", &config.version),
+                ("before", &self.version.get()),
+                ("routes", &routes.len()),
+            ],
+        );
+        self.routes.replace(routes);
+        self.tx_idle.set(config.tx_idle);
+        self.version.set(config.version);
+    }
+
+    fn add_group(self: &Rc<Self>, rule: &crate::GroupRule) {
+        let known = self.groups.borrow().get(&rule.name).cloned();
+        if let Some(group) = known {
+            group.rule.replace(rule.clone());
+            return;
+        }
+        let group = Group::new(rule.clone(), &self.settings.data_center, self.dialect);
+        self.groups
+            .borrow_mut()
+            .insert(rule.name.clone(), group.clone());
+        let mut early = self.early.borrow_mut();
+        for entry in early.values().filter(|e| e.group == rule.name) {
+            group.list(&entry.id, Some(entry));
+        }
+        early.retain(|_, e| e.group != rule.name);
+        monoio::spawn(keeper::keep(group.clone()));
+        monoio::spawn(warden::watch(self.clone(), group));
+    }
+
+    /// Takes over a member's entry.
+    pub fn list(&self, entry: &Entry) {
+        let group = self.groups.borrow().get(&entry.group).cloned();
+        match group {
+            Some(group) => group.list(&entry.id, Some(entry)),
+            None => {
+                self.early
+                    .borrow_mut()
+                    .insert(entry.id.clone(), entry.clone());
+            }
+        }
+    }
+
+    /// Takes over that the platform no longer lists a member.
+    pub fn unlist(&self, id: &str) {
+        self.early.borrow_mut().remove(id);
+        for group in self.groups.borrow().values() {
+            group.list(id, None);
+        }
+    }
+
+    /// Whether callers can be served: a configuration is in force and members answer.
+    pub fn is_ready(&self) -> bool {
+        let groups = self.groups.borrow();
+        let serves = |g: &&Rc<Group>| {
+            let members = g.members.borrow();
+            members.iter().any(|m| m.open.get() > 0 && m.down.get().is_none())
+        };
+        self.version.get() > 0 && groups.values().filter(serves).count() * 2 >= groups.len().max(1)
+    }
+
+    /// Ends sessions at their next boundary.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.stop.notify();
+    }
+
+    /// The rule for a database, and its group.
+    pub fn route(&self, database: &str) -> Option<(Rc<Route>, Rc<Group>)> {
+        let route = self.routes.borrow().get(database).cloned()?;
+        let group = self.groups.borrow().get(&route.group).cloned()?;
+        Some((route, group))
+    }
+
+    /// Waits until a configuration is in force, or the time is over.
+    pub async fn configured(&self, until: Ms) -> bool {
+        while self.version.get() == 0 && until.left() > 0 {
+            pause(CONFIG_LOOK_MS).await;
+        }
+        self.version.get() > 0
+    }
+}
+
+/// Period of looks for the first configuration, in ms.
+const CONFIG_LOOK_MS: u64 = 20;
+
+/// Waits some milliseconds.
+pub(crate) async fn pause(ms: u64) {
+    monoio::time::sleep(std::time::Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/crates/proxy/src/suspect.rs
@@ -0,0 +1,92 @@
+//! When a group needs a new primary.
+
+use std::fmt;
+
+use base::Ms;
+
+/// Time that refused connections must last before the primary counts as lost, in ms.
+const REFUSED_MS: u64 = 150;
+/// Silence after which a primary counts as lost when it takes no new connection either, in ms.
+const SILENT_MS: u64 = 900;
+/// Time without any primary after which one is made, in ms.
+const NONE_MS: u64 = 700;
+/// Time that commits must hang, with the primary ahead of all replicas, in ms.
+const STUCK_MS: u64 = 1200;
+
+/// What a daemon sees of a group's primary.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sight {
+    /// Whether any member says that it is the primary of the newest term.
+    pub has_primary: bool,
+    /// Since when no primary is known.
+    pub none_since: Ms,
+    /// Whether the platform lists the primary as leaving.
+    pub draining: bool,
+    /// Whether the platform no longer lists the primary.
+    pub gone: bool,
+    /// Since when its connections fail.
+    pub down: Option<Ms>,
+    /// Whether they are refused, rather than unanswered.
+    pub refused: bool,
+    /// Since when writes wait while the primary answers other questions.
+    pub stuck: Option<Ms>,
+    /// Replicas that answer.
+    pub replicas: usize,
+}
+
+/// Why a group needs a new primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// It will leave.
+    Draining,
+    /// It has left the platform's list.
+    Gone,
+    /// It refuses connections.
+    Refused,
+    /// It does not answer.
+    Silent,
+    /// No member is primary.
+    Missing,
+    /// It cannot reach its replicas.
+    Stuck,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let text = match self {
+            Cause::Draining => "draining",
+            Cause::Gone => "gone",
+            Cause::Refused => "refused",
+            Cause::Silent => "silent",
+            Cause::Missing => "missing",
+            Cause::Stuck => "stuck",
+        };
+        f.write_str(text)
+    }
+}
+
+/// Whether what is seen calls for a change of primary.
+///
+/// A primary that is only slow still takes connections, so it is never replaced for that.
+pub fn suspect(sight: &Sight, now: Ms) -> Option<Cause> {
+    let lasted = |since: Ms| now.0.saturating_sub(since.0);
+    if !sight.has_primary {
+        return (lasted(sight.none_since) >= NONE_MS).then_some(Cause::Missing);
+    }
+    if sight.gone {
+        return Some(Cause::Gone);
+    }
+    if sight.draining {
+        return Some(Cause::Draining);
+    }
+    if let Some(since) = sight.down {
+        if sight.refused && lasted(since) >= REFUSED_MS {
+            return Some(Cause::Refused);
+        }
+        if lasted(since) >= SILENT_MS {
+            return Some(Cause::Silent);
+        }
+    }
+    let stuck = sight.stuck.is_some_and(|since| lasted(since) >= STUCK_MS);
+    (stuck && sight.replicas >= 2).then_some(Cause::Stuck)
+}
--- /dev/null
+++ b/crates/proxy/src/warden.rs
@@ -0,0 +1,202 @@
+//! Changes the primary of a group when the evidence calls for it.
+//!
+//! Both replicas are fenced first, so that the old primary can acknowledge nothing more; then the
+//! one with the longest log is promoted. Every commit that was acknowledged is on one of them.
+
+use std::rc::Rc;
+
+use base::{Event, Ms, emit};
+
+use crate::state::pause;
+use crate::{Cause, Command, Group, Lost, Member, Proxy, Role, Status, suspect};
+
+/// Period of looks at the evidence, in ms.
+const LOOK_MS: u64 = 50;
+/// Longest pause before a daemon acts on evidence that others see too, in ms.
+const STAGGER_MS: u64 = 300;
+/// Time a member has for an order, in ms.
+const ORDER_MS: u64 = 400;
+/// Time after which an ordered promotion counts as failed, in ms.
+const EFFECT_MS: u64 = 2500;
+/// Pause after a change that failed, in ms.
+const AGAIN_MS: u64 = 300;
+
+/// Runs until the process ends.
+pub async fn watch(proxy: Rc<Proxy>, group: Rc<Group>) {
+    loop {
+        pause(LOOK_MS).await;
+        let Some(cause) = suspect(&group.sight(), Ms::now()) else {
+            continue;
+        };
+        pause(fastrand::u64(..STAGGER_MS)).await;
+        if suspect(&group.sight(), Ms::now()).is_none() {
+            continue;
+        }
+        if let Err(step) = change(&proxy, &group, cause).await {
+            emit(
+                Event::ChangeStopped,
+                &[("group", &group.name), ("cause", &step)],
+            );
+            pause(AGAIN_MS).await;
+        }
+    }
+}
+
+/// Tells where a change of primary stopped.
+type Step = Box<str>;
+
+async fn change(proxy: &Proxy, group: &Rc<Group>, cause: Cause) -> Result<(), Step> {
+    let began = Ms::now();
+    let old = group.primary();
+    let Some(token) = (proxy.orders.claim)(group.name.clone()).await else {
+        return Err("another daemon holds the duty".into());
+    };
+    emit(
+        Event::ChangeBegun,
+        &[
+            ("group", &group.name),
+            ("cause", &cause),
+            ("primary", &old.as_ref().map_or("", |p| &p.id)),
+            ("change", &token),
+        ],
+    );
+    let result = steps(proxy, group, old.as_ref(), token).await;
+    (proxy.orders.release)(group.name.clone()).await;
+    let new = result?;
+    emit(
+        Event::ChangeDone,
+        &[
+            ("group", &group.name),
+            ("primary", &new.id),
+            ("change", &token),
+            ("took_ms", &began.elapsed()),
+        ],
+    );
+    Ok(())
+}
+
+async fn steps(
+    proxy: &Proxy,
+    group: &Rc<Group>,
+    old: Option<&Rc<Member>>,
+    token: u64,
+) -> Result<Rc<Member>, Step> {
+    let term = group.newest_term() + 1;
+    let replicas: Vec<_> = group
+        .members
+        .borrow()
+        .iter()
+        .filter(|m| old.is_none_or(|p| !Rc::ptr_eq(p, m)))
+        .cloned()
+        .collect();
+    let fenced = fence(group, &replicas, term).await?;
+    if fenced.len() < 2 {
+        resume(group, &fenced).await;
+        return Err(format!("only {} replicas could be fenced", fenced.len()).into());
+    }
+    let best = best(&fenced).ok_or("no replica can be promoted")?;
+    emit(
+        Event::ChangeFenced,
+        &[
+            ("group", &group.name),
+            ("best", &best.id),
+            ("term", &term),
+            ("change", &token),
+        ],
+    );
+    let ordered = (proxy.orders.promote)(group.name.clone(), best.id.clone(), token).await;
+    emit(
+        Event::ChangeOrdered,
+        &[
+            ("group", &group.name),
+            ("member", &best.id),
+            ("change", &token),
+            ("accepted", &ordered),
+        ],
+    );
+    if !ordered {
+        resume(group, &fenced).await;
+        return Err("the promotion was refused".into());
+    }
+    await_effect(group, &best).await?;
+    settle(group, &best, &fenced, old).await;
+    Ok(best)
+}
+
+/// Fences the replicas that can be reached.
+async fn fence(
+    group: &Rc<Group>,
+    replicas: &[Rc<Member>],
+    term: u64,
+) -> Result<Vec<(Rc<Member>, Status)>, Step> {
+    let mut fenced = Vec::new();
+    for member in replicas {
+        match order(group, member, &Command::Fence { term }).await {
+            Ok(status) if status.role == Role::Primary => {
+                return Err("a replica has become primary".into());
+            }
+            Ok(status) if status.fenced > 0 => fenced.push((member.clone(), status)),
+            Ok(_) | Err(_) => {}
+        }
+    }
+    Ok(fenced)
+}
+
+/// The fenced replica with the longest log; among equals one that stays.
+fn best(fenced: &[(Rc<Member>, Status)]) -> Option<Rc<Member>> {
+    let key = |(member, status): &&(Rc<Member>, Status)| (status.received, member.is_serving());
+    fenced.iter().max_by_key(key).map(|(m, _)| m.clone())
+}
+
+async fn await_effect(group: &Rc<Group>, best: &Rc<Member>) -> Result<(), Step> {
+    let until = Ms::now().plus(EFFECT_MS);
+    while until.left() > 0 {
+        pause(LOOK_MS).await;
+        if let Ok(status) = order(group, best, &Command::Status).await
+            && status.role == Role::Primary
+        {
+            return Ok(());
+        }
+    }
+    Err("the promotion took no effect".into())
+}
+
+/// Lets the other replica follow, and makes the old primary step down.
+async fn settle(
+    group: &Rc<Group>,
+    best: &Rc<Member>,
+    fenced: &[(Rc<Member>, Status)],
+    old: Option<&Rc<Member>>,
+) {
+    let term = best.word.get().map_or(0, |w| w.term);
+    for (member, _) in fenced.iter().filter(|(m, _)| !Rc::ptr_eq(m, best)) {
+        if let Ok(status) = order(group, member, &Command::Status).await
+            && status.fenced > 0
+        {
+            let _ = order(group, member, &Command::Resume).await;
+        }
+    }
+    if let Some(old) = old
+        && !old.gone.get()
+        && old.down.get().is_none()
+    {
+        let _ = order(group, old, &Command::Demote { term }).await;
+    }
+}
+
+async fn resume(group: &Rc<Group>, fenced: &[(Rc<Member>, Status)]) {
+    for (member, _) in fenced {
+        let _ = order(group, member, &Command::Resume).await;
+    }
+}
+
+async fn order(
+    group: &Rc<Group>,
+    member: &Rc<Member>,
+    command: &Command<'_>,
+) -> Result<Status, Lost> {
+    let mut conn = group.control(member).await?;
+    let status = group.ask(&mut conn, command, ORDER_MS).await?;
+    group.put(conn);
+    Ok(status)
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -17,5 +17,5 @@
 pub use generated::objects::*;
 pub use generated::settings::*;
 pub use institution::{normalize, qualified};
-pub use load::{LoadError, load_settings};
+pub use load::{LoadError, load_gateway, load_settings};
 pub use serde_bytes::ByteBuf;
--- a/crates/schema/src/load.rs
+++ b/crates/schema/src/load.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::check::{address, names};
-use crate::{Fault, Settings};
+use crate::{Fault, Gateway, Settings};
 
 /// Shortest secret that is accepted, in characters.
 const SECRET_LEN: usize = 16;
@@ -52,6 +52,20 @@
     parse_settings(file, &text)
 }
 
+/// Reads and checks the settings of a daemon that serves on the platform.
+///
+/// # Errors
+/// As `load_settings`.
+pub fn load_gateway(file: &str) -> Result<Gateway, LoadError> {
+    let text = std::fs::read_to_string(file).map_err(|e| LoadError::Read(file.into(), e))?;
+    let settings: Gateway =
+        serde_norway::from_str(&text).map_err(|e| LoadError::Parse(file.into(), e))?;
+    let mut faults = Vec::new();
+    settings.check("", &mut faults);
+    settings.addresses(&mut faults);
+    finish(file, &text, settings, faults)
+}
+
 /// As `load_settings`, from text.
 pub(crate) fn parse_settings(file: &str, text: &str) -> Result<Settings, LoadError> {
     let settings: Settings =
@@ -59,6 +73,11 @@
     let mut faults = Vec::new();
     settings.check("", &mut faults);
     settings.contradictions(&mut faults);
+    finish(file, text, settings, faults)
+}
+
+/// Hands settings out when nothing is wrong with them.
+fn finish<T>(file: &str, text: &str, settings: T, faults: Vec<Fault>) -> Result<T, LoadError> {
     if faults.is_empty() {
         return Ok(settings);
     }
@@ -98,6 +117,18 @@
     found
 }
 
+impl Gateway {
+    fn addresses(&self, out: &mut Vec<Fault>) {
+        address("listen", &self.listen, out);
+        address("ready", &self.ready, out);
+        address("store", &self.store, out);
+        address("orders", &self.orders, out);
+        if let Some(metrics) = &self.metrics {
+            address("metrics", metrics, out);
+        }
+    }
+}
+
 impl Settings {
     /// Adds a fault for each pair of values that cannot both hold.
     fn contradictions(&self, out: &mut Vec<Fault>) {
