Fence every member that may hold an acknowledged commit; refuse at once without a primary

Ruled out: a slow promotion (24 changes took 1.00 to 1.13 s from order to effect, at a look each 50 ms). Change: the fence must cover the whole cohort; a primary that the list names but that has no free connection is not missing; statements for a primary without a lease are refused at once after 900 ms and the daemon is then not ready; questions of our own wait their turn for a connection instead of opening one; BEGIN and ROLLBACK carry the caller's id.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -42,13 +42,18 @@
     },
     /// Opens a transaction.
     Begin {
+        /// Identifier of the caller's statement.
+        id: &'a str,
         /// Whether it only reads.
         read: bool,
         /// Position that the member's log must contain.
         after: Option<Pos>,
     },
     /// Ends a transaction without keeping anything.
-    Rollback,
+    Rollback {
+        /// Identifier of the caller's statement, if there was one.
+        id: Option<&'a str>,
+    },
     /// Clears session values and prepared statements. The answer carries the member's position.
     Reset,
     /// Sets a session value; the text is the caller's.
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -136,6 +136,7 @@
         let text = match refusal {
             Refusal::Full => "no capacity within the time allowed",
             Refusal::Late => "no member could take it in time",
+            Refusal::NoPrimary => "no primary can be used now",
         };
         emit(
             Event::NotRun,
@@ -276,7 +277,7 @@
         }
         let after = match need {
             Need::Holds(pos) => Some(pos),
-            Need::Primary(_) => None,
+            Need::Primary(_) | Need::This(_) => None,
         };
         let asked = Ms::now();
         if work.write {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -17,10 +17,21 @@
 const CONNECT_MS: u64 = 400;
 /// Pause after a failed attempt to open a connection, in ms.
 const RETRY_MS: u64 = 150;
-/// Connections of a member that are left to others, as a share: one in this many.
-const RESERVE_SHARE: u64 = 8;
 /// Connections to one member that a daemon keeps when idle.
 const KEEP: u64 = 2;
+/// Connections to a nearly full member that a daemon keeps when idle.
+const KEEP_FULL: u64 = 1;
+/// Idle time after which a connection to a nearly full member is closed, in ms.
+const TRIM_FULL_MS: u64 = 300;
+/// Time without a lease after which statements for the primary are refused at once, in ms.
+const HOPE_MS: u64 = 900;
+/// The same while a change of primary is seen to run, in ms.
+const HOPE_CHANGE_MS: u64 = 2500;
+/// Longest wait for a connection for a question of the daemon's own, in ms.
+const CONTROL_MS: u64 = 300;
+/// Time after which a member that has left no longer matters for a change of primary, counted
+/// from its last sign of life to the primary's, in ms.
+const SETTLE_MS: u64 = 1000;
 /// Connections to one member that a daemon opens at most.
 const MOST: u64 = 8;
 /// Idle time after which a connection beyond those kept is closed, in ms.
@@ -46,6 +57,8 @@
     pub(crate) home: Box<str>,
     pub(crate) dialect: Dialect,
     waiters: RefCell<Vec<Rc<Waiter>>>,
+    /// When this daemon began to follow the group.
+    began: Ms,
     had_lease: Cell<bool>,
     me: Weak<Group>,
 }
@@ -67,6 +80,8 @@
     Full,
     /// The time ran out.
     Late,
+    /// No primary can be used, and none soon.
+    NoPrimary,
 }
 
 impl Group {
@@ -83,6 +98,7 @@
             home: home.into(),
             dialect,
             waiters: RefCell::default(),
+            began: Ms::now(),
             had_lease: Cell::new(false),
             me: me.clone(),
         })
@@ -112,6 +128,7 @@
             (Some(member), None) => {
                 member.gone.set(true);
                 member.idle.borrow_mut().clear();
+                member.left_at.set(Ms::now());
                 emit(
                     Event::MemberGone,
                     &[("group", &self.name), ("member", &member.id)],
@@ -174,17 +191,20 @@
     pub fn sight(&self) -> Sight {
         let primary = self.primary();
         let listed = self.listed();
+        let claimed = listed.iter().find(|m| m.claims_primary());
         let replicas = listed
             .iter()
             .filter(|m| m.down.get().is_none() && m.word.get().is_some());
         let oldest = self.writes.borrow().iter().min().copied();
         Sight {
-            has_primary: primary.is_some(),
+            has_primary: primary.is_some() || claimed.is_some(),
+            unknown: listed.iter().any(|m| m.word.get().is_none() && m.down.get().is_none()),
             none_since: self.none_since.get(),
+            changing: listed.iter().any(|m| m.is_fenced()),
             draining: primary.as_ref().is_some_and(|p| p.entry.borrow().draining),
             gone: primary.as_ref().is_some_and(|p| p.gone.get()),
-            down: primary.as_ref().and_then(|p| p.down.get()),
-            refused: primary.as_ref().is_some_and(|p| p.refused.get()),
+            down: primary.as_ref().or(claimed).and_then(|p| p.down.get()),
+            refused: primary.as_ref().or(claimed).is_some_and(|p| p.refused.get()),
             stuck: oldest,
             replicas: replicas.count().saturating_sub(1),
         }
@@ -246,6 +266,7 @@
                 let lease = self.lease();
                 lease >= arrival && lease > now && self.primary().is_some_and(|p| p.id == member.id)
             }
+            Need::This(key) => member.key == key,
             Need::Holds(pos) => {
                 member.is_serving() && may_hold(member, pos, now) && member.full_until.get() <= now
             }
@@ -269,6 +290,9 @@
         if rank.until <= now {
             return Err(Refusal::Late);
         }
+        if matches!(need, Need::Primary(_)) && self.is_hopeless() {
+            return Err(Refusal::NoPrimary);
+        }
         if self.wait_ahead(need, &rank, now) > f64::from(u32::try_from(rank.until.left()).unwrap_or(u32::MAX)) {
             return Err(Refusal::Full);
         }
@@ -293,7 +317,7 @@
         let waiters = self.waiters.borrow();
         let before = |w: &&Rc<Waiter>| w.rank.key(now) <= rank.key(now);
         let same = |w: &&Rc<Waiter>| {
-            matches!(w.need, Need::Primary(_)) || matches!(need, Need::Holds(_))
+            !matches!(w.need, Need::Holds(_)) || matches!(need, Need::Holds(_))
         };
         let ahead = waiters.iter().filter(before).filter(same).count();
         let members = self.members.borrow();
@@ -393,8 +417,8 @@
         let used = member.status.get().map_or(0, |s| s.conns);
         match own {
             0 => true,
-            1 => used + 1 < most,
-            n => n < MOST && used + most / RESERVE_SHARE < most * 3 / 4,
+            1 => used < most * 3 / 4,
+            n => n < MOST && used < most / 2,
         }
     }
 
@@ -488,34 +512,73 @@
         Ok(status)
     }
 
-    /// Takes a connection for a question of the daemon's own, opening one if none is idle.
+    /// Takes a connection for a question of the daemon's own, before all callers' statements.
     ///
     /// # Errors
-    /// As `Conn::open`.
+    /// As `Conn::open`; `Lost::Slow` when none became free.
     pub async fn control(&self, member: &Rc<Member>) -> Result<Conn, Lost> {
-        loop {
-            let conn = member.idle.borrow_mut().pop();
-            let Some(mut conn) = conn else { break };
-            if conn.is_quiet().await {
-                return Ok(conn);
-            }
+        if member.open.get() == 0 {
+            return Conn::open(member.clone(), self.dialect, CONNECT_MS).await;
         }
-        Conn::open(member.clone(), self.dialect, CONNECT_MS).await
+        let now = Ms::now();
+        let rank = Rank {
+            priority: 0,
+            target: now,
+            until: now.plus(CONTROL_MS),
+        };
+        let conn = self.acquire(Need::This(member.key), rank, Vec::new()).await;
+        conn.map_err(|_| Lost::Slow)
+    }
+
+    /// Members that may have acknowledged a commit of the primary which no other member has:
+    /// all but the primary, less those that left while the primary still served.
+    pub fn cohort(&self, primary: Option<&Rc<Member>>) -> Vec<Rc<Member>> {
+        let heard = primary.map_or(Ms(0), |p| p.heard_at.get());
+        let members = self.members.borrow();
+        let may_hold = |m: &&Rc<Member>| {
+            let settled = m.gone.get() && m.left_at.get().plus(SETTLE_MS) < heard;
+            primary.is_none_or(|p| p.key != m.key) && !settled
+        };
+        members.iter().filter(may_hold).cloned().collect()
     }
 
     /// Closes connections that have been idle for long, beyond those kept.
     pub fn trim(&self) {
         for member in self.members.borrow().iter() {
             let mut idle = member.idle.borrow_mut();
-            while member.open.get() > KEEP
-                && idle.first().is_some_and(|c| c.idle_since.elapsed() > TRIM_MS)
+            let most = self.rule.borrow().conns;
+            let full = member.status.get().is_some_and(|s| s.conns + 1 >= most);
+            let (keep, after) = if full {
+                (KEEP_FULL, TRIM_FULL_MS)
+            } else {
+                (KEEP, TRIM_MS)
+            };
+            while member.open.get() > keep
+                && idle.first().is_some_and(|c| c.idle_since.elapsed() > after)
             {
                 idle.remove(0);
             }
         }
-        self.members
-            .borrow_mut()
-            .retain(|m| !m.gone.get() || m.open.get() > 0);
+        let cohort = self.cohort(self.primary().as_ref());
+        let primary = self.primary();
+        self.members.borrow_mut().retain(|m| {
+            !m.gone.get()
+                || m.open.get() > 0
+                || primary.as_ref().is_none_or(|p| p.key == m.key)
+                || cohort.iter().any(|c| c.key == m.key)
+        });
+    }
+
+    /// Whether the primary cannot be used and nothing says that it soon can.
+    pub fn is_hopeless(&self) -> bool {
+        let now = Ms::now();
+        let lease = self.lease();
+        if lease > now {
+            return false;
+        }
+        let out_for = now.0 - lease.0.max(self.began.0);
+        let soon = self.sight().changing || self.newest_term() == 0;
+        out_for > if soon { HOPE_CHANGE_MS } else { HOPE_MS }
     }
 
     /// Statements that wait.
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -11,7 +11,7 @@
 
 /// Time that a replica's word entitles to use the primary, counted from the question, in ms.
 /// It is shorter than the time that a promotion takes to have effect.
-pub const LEASE_MS: u64 = 600;
+pub const LEASE_MS: u64 = 800;
 /// Time since its start after which a replica's word counts by itself, in ms.
 /// It is longer than a change of primary takes from fence to effect.
 pub const SETTLED_MS: u64 = 3000;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -6,7 +6,7 @@
 use base::Ms;
 use schema::Pos;
 
-use crate::{Conn, Entry, Status, Word};
+use crate::{Conn, Entry, Role, Status, Word};
 
 /// Weight of the newest sample in the mean time of a statement.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -15,8 +15,24 @@
 /// Mean time of a statement that is assumed at first, in ms.
 const FIRST_COST_MS: f64 = 12.0;
 
+/// Names a member within one daemon; never used again for another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Key(u64);
+
+thread_local! {
+    static NEXT: Cell<u64> = const { Cell::new(0) };
+}
+
+impl Key {
+    fn next() -> Key {
+        Key(NEXT.replace(NEXT.get() + 1))
+    }
+}
+
 /// A member of a group.
 pub struct Member {
+    /// Names it within this daemon.
+    pub key: Key,
     /// Its identifier.
     pub id: Box<str>,
     /// Its address.
@@ -25,6 +41,10 @@
     pub entry: RefCell<Entry>,
     /// Whether the platform no longer lists it; it then gets no new work.
     pub gone: Cell<bool>,
+    /// When the platform stopped listing it.
+    pub left_at: Cell<Ms>,
+    /// When it was last heard, on any connection.
+    pub heard_at: Cell<Ms>,
     /// What it said last of itself.
     pub word: Cell<Option<Word>>,
     /// The status that the word came from.
@@ -58,10 +78,13 @@
     /// A member as listed.
     pub fn new(entry: Entry) -> Member {
         Member {
+            key: Key::next(),
             id: entry.id.clone(),
             addr: entry.addr,
             entry: RefCell::new(entry),
             gone: Cell::new(false),
+            left_at: Cell::new(Ms(0)),
+            heard_at: Cell::new(Ms(0)),
             word: Cell::new(None),
             status: Cell::new(None),
             pos: Cell::new(Pos::ZERO),
@@ -84,6 +107,16 @@
         !self.gone.get() && !self.entry.borrow().draining
     }
 
+    /// Whether the platform lists it as primary, while it has not said anything else itself.
+    pub fn claims_primary(&self) -> bool {
+        self.word.get().is_none() && self.entry.borrow().role == Role::Primary
+    }
+
+    /// Whether it said that it is fenced for a change of primary.
+    pub fn is_fenced(&self) -> bool {
+        self.word.get().is_some_and(|w| w.fenced)
+    }
+
     /// Counts the time that a statement took.
     pub(crate) fn took(&self, ms: u64, now: Ms) {
         let sample = f64::from(u32::try_from(ms).unwrap_or(u32::MAX));
@@ -110,6 +143,7 @@
 
     pub(crate) fn heard(&self, now: Ms) {
         self.quiet_since.set(now);
+        self.heard_at.set(now);
         self.down.set(None);
     }
 
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -3,6 +3,7 @@
 use base::Ms;
 use schema::Pos;
 
+use crate::member::Key;
 use crate::{Freshness, History, Member, Role};
 
 /// Time for which a replica that lacked a position is not asked for a newer one, in ms.
@@ -19,6 +20,8 @@
     Primary(Ms),
     /// Any member whose log contains this position.
     Holds(Pos),
+    /// This member, for a question of the daemon's own.
+    This(Key),
 }
 
 /// What a read needs, or `None` when no known position is fresh enough.
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -50,7 +50,7 @@
         if let Some(tx) = session.tx.take()
             && let Some((_, group)) = proxy.route(&session.database)
         {
-            tx.roll_back(&group).await;
+            tx.roll_back(&group, None).await;
         }
     }
     proxy.sessions.set(proxy.sessions.get() - 1);
@@ -149,6 +149,10 @@
             if link.send(&out).await.is_err() {
                 return;
             }
+            // The caller is better served by a daemon that can reach the primaries.
+            if self.state == TxState::Idle && reply.kind() == Some(ErrorKind::Busy) && !proxy.is_ready() {
+                return;
+            }
         }
     }
 
@@ -180,7 +184,7 @@
         }
         let Some(tx) = self.tx.take() else { return };
         if let Some((_, group)) = proxy.route(&self.database) {
-            tx.roll_back(&group).await;
+            tx.roll_back(&group, None).await;
         }
     }
 
@@ -212,7 +216,7 @@
                 if self.state != TxState::Idle {
                     return self.malformed("a transaction is open");
                 }
-                self.tx = Some(Transaction::new(*read, arrival));
+                self.tx = Some(Transaction::new(*read, arrival, &statement.id));
                 self.state = TxState::Open;
                 self.local(Reply::plain())
             }
@@ -228,7 +232,7 @@
                 self.plans.remove(name);
                 self.local(Reply::plain())
             }
-            Verb::Rollback => self.roll_back(proxy).await,
+            Verb::Rollback => self.roll_back(proxy, &statement.id).await,
             Verb::Commit => self.commit(proxy, statement, arrival).await,
             Verb::Read | Verb::Write => {
                 let work = Work {
@@ -254,11 +258,11 @@
         }
     }
 
-    async fn roll_back(&mut self, proxy: &Rc<Proxy>) -> Reply {
+    async fn roll_back(&mut self, proxy: &Rc<Proxy>, id: &str) -> Reply {
         if let Some(tx) = self.tx.take()
             && let Some((_, group)) = proxy.route(&self.database)
         {
-            tx.roll_back(&group).await;
+            tx.roll_back(&group, Some(id)).await;
         }
         self.state = TxState::Idle;
         self.local(Reply::plain())
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -146,14 +146,12 @@
         }
     }
 
-    /// Whether callers can be served: a configuration is in force and members answer.
+    /// Whether callers are served well here: a configuration is in force, and the primaries of at
+    /// least half of the groups can be used, or will soon be.
     pub fn is_ready(&self) -> bool {
         let groups = self.groups.borrow();
-        let serves = |g: &&Rc<Group>| {
-            let members = g.members.borrow();
-            members.iter().any(|m| m.open.get() > 0 && m.down.get().is_none())
-        };
-        self.version.get() > 0 && groups.values().filter(serves).count() * 2 >= groups.len().max(1)
+        let usable = groups.values().filter(|g| !g.is_hopeless()).count();
+        self.version.get() > 0 && usable * 2 >= groups.len()
     }
 
     /// Ends sessions at their next boundary.
--- a/crates/proxy/src/suspect.rs
+++ b/crates/proxy/src/suspect.rs
@@ -20,6 +20,10 @@
     pub has_primary: bool,
     /// Since when no primary is known.
     pub none_since: Ms,
+    /// Whether a member that seems to be up has not said yet what it is.
+    pub unknown: bool,
+    /// Whether a member is fenced, so that a change of primary runs already.
+    pub changing: bool,
     /// Whether the platform lists the primary as leaving.
     pub draining: bool,
     /// Whether the platform no longer lists the primary.
@@ -71,7 +75,8 @@
 pub fn suspect(sight: &Sight, now: Ms) -> Option<Cause> {
     let lasted = |since: Ms| now.0.saturating_sub(since.0);
     if !sight.has_primary {
-        return (lasted(sight.none_since) >= NONE_MS).then_some(Cause::Missing);
+        let certain = !sight.unknown && sight.replicas >= 1;
+        return (certain && lasted(sight.none_since) >= NONE_MS).then_some(Cause::Missing);
     }
     if sight.gone {
         return Some(Cause::Gone);
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -21,17 +21,20 @@
     pub begun: Ms,
     /// Whether a write was sent in it.
     pub wrote: bool,
+    /// Identifier of the statement that began it.
+    id: Box<str>,
     /// Its connection, once it has one.
     conn: Option<Conn>,
 }
 
 impl Transaction {
     /// A transaction that no member knows of yet.
-    pub fn new(read: bool, begun: Ms) -> Transaction {
+    pub fn new(read: bool, begun: Ms, id: &str) -> Transaction {
         Transaction {
             read,
             begun,
             wrote: false,
+            id: id.into(),
             conn: None,
         }
     }
@@ -76,7 +79,7 @@
             match work.send(&mut conn, None, cx.until.left()).await {
                 Ok(reply) if reply.kind().is_some_and(ErrorKind::is_not_run) => {
                     let next = cx.after_error(work, &mut conn, reply, &mut tries).await;
-                    drop_tx(cx.group, conn).await;
+                    drop_tx(cx.group, conn, None).await;
                     match next {
                         Next::Again => {}
                         Next::Tell(reply) => return reply,
@@ -109,14 +112,14 @@
         let mut conn = cx.connect(need, work, tries).await.map_err(Next::Tell)?;
         let after = match need {
             Need::Holds(pos) => Some(pos),
-            Need::Primary(_) => None,
+            Need::Primary(_) | Need::This(_) => None,
         };
-        let begun = begin(&mut conn, values, work, self.read, after).await;
+        let begun = begin(&mut conn, values, work, self, after).await;
         match begun {
             Ok(reply) if reply.kind().is_none() => Ok(conn),
             Ok(reply) => {
                 let next = cx.after_error(work, &mut conn, reply, tries).await;
-                drop_tx(cx.group, conn).await;
+                drop_tx(cx.group, conn, None).await;
                 Err(next)
             }
             Err(e) => {
@@ -139,7 +142,7 @@
             return reply;
         }
         if let Some(conn) = self.conn.take() {
-            drop_tx(group, conn).await;
+            drop_tx(group, conn, None).await;
         }
         Reply {
             state: TxState::Failed,
@@ -177,7 +180,7 @@
                 if reply.state == TxState::Idle {
                     cx.group.put(conn);
                 } else {
-                    drop_tx(cx.group, conn).await;
+                    drop_tx(cx.group, conn, None).await;
                 }
                 if self.wrote && reply.kind().is_none() {
                     return cx.cover(work, reply).await;
@@ -197,9 +200,11 @@
     }
 
     /// Drops its writes.
-    pub async fn roll_back(mut self, group: &Rc<Group>) {
+    ///
+    /// The identifier is that of the caller's statement, if there was one.
+    pub async fn roll_back(mut self, group: &Rc<Group>, id: Option<&str>) {
         if let Some(conn) = self.conn.take() {
-            drop_tx(group, conn).await;
+            drop_tx(group, conn, id).await;
         }
     }
 }
@@ -215,16 +220,21 @@
     conn: &mut Conn,
     values: &Values,
     work: &Work<'_>,
-    read: bool,
+    tx: &Transaction,
     after: Option<Pos>,
 ) -> Result<Reply, Lost> {
     conn.set_up(values, work.prepared(), MARK_MS).await?;
-    conn.run(&Command::Begin { read, after }, MARK_MS).await
+    let command = Command::Begin {
+        id: &tx.id,
+        read: tx.read,
+        after,
+    };
+    conn.run(&command, MARK_MS).await
 }
 
 /// Rolls back at the member; a connection that does not confirm it is closed.
-async fn drop_tx(group: &Rc<Group>, mut conn: Conn) {
-    if let Ok(reply) = conn.run(&Command::Rollback, MARK_MS).await
+async fn drop_tx(group: &Rc<Group>, mut conn: Conn, id: Option<&str>) {
+    if let Ok(reply) = conn.run(&Command::Rollback { id }, MARK_MS).await
         && reply.state == TxState::Idle
     {
         group.put(conn);
--- a/crates/proxy/src/warden.rs
+++ b/crates/proxy/src/warden.rs
@@ -20,6 +20,8 @@
 const EFFECT_MS: u64 = 2500;
 /// Pause after a change that failed, in ms.
 const AGAIN_MS: u64 = 300;
+/// Pause while another daemon changes the primary, in ms.
+const OTHER_MS: u64 = 1200;
 
 /// Runs until the process ends.
 pub async fn watch(proxy: Rc<Proxy>, group: Rc<Group>) {
@@ -32,12 +34,16 @@
         if suspect(&group.sight(), Ms::now()).is_none() {
             continue;
         }
-        if let Err(step) = change(&proxy, &group, cause).await {
-            emit(
-                Event::ChangeStopped,
-                &[("group", &group.name), ("cause", &step)],
-            );
-            pause(AGAIN_MS).await;
+        match change(&proxy, &group, cause).await {
+            Ok(Some(())) => {}
+            Ok(None) => pause(OTHER_MS).await,
+            Err(step) => {
+                emit(
+                    Event::ChangeStopped,
+                    &[("group", &group.name), ("cause", &step)],
+                );
+                pause(AGAIN_MS).await;
+            }
         }
     }
 }
@@ -45,11 +51,12 @@
 /// Tells where a change of primary stopped.
 type Step = Box<str>;
 
-async fn change(proxy: &Proxy, group: &Rc<Group>, cause: Cause) -> Result<(), Step> {
+/// Runs one change; `None` when another daemon has the right to.
+async fn change(proxy: &Proxy, group: &Rc<Group>, cause: Cause) -> Result<Option<()>, Step> {
     let began = Ms::now();
     let old = group.primary();
     let Some(token) = (proxy.orders.claim)(group.name.clone()).await else {
-        return Err("another daemon holds the duty".into());
+        return Ok(None);
     };
     emit(
         Event::ChangeBegun,
@@ -72,7 +79,7 @@
             ("took_ms", &began.elapsed()),
         ],
     );
-    Ok(())
+    Ok(Some(()))
 }
 
 async fn steps(
@@ -82,17 +89,13 @@
     token: u64,
 ) -> Result<Rc<Member>, Step> {
     let term = group.newest_term() + 1;
-    let replicas: Vec<_> = group
-        .members
-        .borrow()
-        .iter()
-        .filter(|m| old.is_none_or(|p| !Rc::ptr_eq(p, m)))
-        .cloned()
-        .collect();
-    let fenced = fence(group, &replicas, term).await?;
-    if fenced.len() < 2 {
+    let cohort = group.cohort(old);
+    let fenced = fence(group, &cohort, term).await?;
+    // A member that is not fenced may hold an acknowledged commit, or acknowledge one later.
+    if fenced.len() < cohort.len().max(2) {
         resume(group, &fenced).await;
-        return Err(format!("only {} replicas could be fenced", fenced.len()).into());
+        let (done, all) = (fenced.len(), cohort.len());
+        return Err(format!("{done} of {all} members could be fenced").into());
     }
     let best = best(&fenced).ok_or("no replica can be promoted")?;
     emit(
@@ -130,8 +133,15 @@
     term: u64,
 ) -> Result<Vec<(Rc<Member>, Status)>, Step> {
     let mut fenced = Vec::new();
-    for member in replicas {
-        match order(group, member, &Command::Fence { term }).await {
+    let asked: Vec<_> = replicas
+        .iter()
+        .map(|member| {
+            let (group, member) = (group.clone(), member.clone());
+            monoio::spawn(async move { order(&group, &member, &Command::Fence { term }).await })
+        })
+        .collect();
+    for (member, answer) in replicas.iter().zip(asked) {
+        match answer.await {
             Ok(status) if status.role == Role::Primary => {
                 return Err("a replica has become primary".into());
             }
