Supersede members by address, resume replicas left fenced, count silence from the question

A restarted member has a new id at the former address; the former id stayed in the cohort and, as a stale primary, hid the new one; two replicas stayed fenced after failed changes. A cut data centre was noticed after 2 s. Change: a new entry at an address replaces the former member; replicas fenced for 4 s are resumed under the duty, and no promotion is ordered 2 s after the claim; silence counts from the first unanswered question, after 300 ms a new connection is tried; a process that stood still forgets its evidence; a daemon that hears less than half of the members is not ready.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -15,6 +15,8 @@
 
 /// Time to open a connection, in ms.
 const CONNECT_MS: u64 = 400;
+/// Silence after which a new connection is tried, in ms.
+const PROBE_MS: u64 = 300;
 /// Pause after a failed attempt to open a connection, in ms.
 const RETRY_MS: u64 = 150;
 /// Connections to one member that a daemon keeps when idle.
@@ -27,6 +29,8 @@
 const HOPE_MS: u64 = 900;
 /// The same while a change of primary is seen to run, in ms.
 const HOPE_CHANGE_MS: u64 = 2500;
+/// Silence after which a member counts as out of reach of this VM, in ms.
+const SILENT_MS: u64 = 500;
 /// Longest wait for a connection for a question of the daemon's own, in ms.
 const CONTROL_MS: u64 = 300;
 /// Time after which a member that has left no longer matters for a change of primary, counted
@@ -116,11 +120,8 @@
                 member.gone.set(false);
                 member.entry.replace(entry.clone());
             }
-            (known, Some(entry)) => {
-                if let Some(old) = known {
-                    self.members.borrow_mut().retain(|m| !Rc::ptr_eq(m, &old));
-                    old.gone.set(true);
-                }
+            (_, Some(entry)) => {
+                self.supersede(entry);
                 let member = Rc::new(Member::new(entry.clone()));
                 self.members.borrow_mut().push(member.clone());
                 self.ensure(&member);
@@ -151,6 +152,20 @@
         self.notify();
     }
 
+    /// Forgets members whose place a new one takes: a restarted member, and one that replaces
+    /// another, has the address and the log of the former.
+    fn supersede(&self, entry: &Entry) {
+        let mut members = self.members.borrow_mut();
+        for old in members.iter() {
+            if old.addr == entry.addr || old.id == entry.id {
+                old.gone.set(true);
+                old.word.set(None);
+                old.idle.borrow_mut().clear();
+            }
+        }
+        members.retain(|m| m.addr != entry.addr && m.id != entry.id);
+    }
+
     /// The member with an identifier.
     pub fn member(&self, id: &str) -> Option<Rc<Member>> {
         let members = self.members.borrow();
@@ -177,7 +192,9 @@
             let word = m.word.get();
             word.is_some_and(|w| w.role == Role::Primary && w.term == term)
         };
-        self.members.borrow().iter().find(leads).cloned()
+        let members = self.members.borrow();
+        let listed = members.iter().filter(|m| !m.gone.get()).find(leads);
+        listed.or_else(|| members.iter().find(leads)).cloned()
     }
 
     /// The instant until which the primary may be used.
@@ -213,6 +230,11 @@
     /// Takes over what a member said of itself on a connection.
     pub fn on_status(&self, member: &Member, status: &Status, asked: Ms, up_since: Ms) {
         let before = member.word.get();
+        if status.fenced == 0 {
+            member.fenced_since.set(None);
+        } else if member.fenced_since.get().is_none() {
+            member.fenced_since.set(Some(asked));
+        }
         member.status.set(Some(*status));
         member.word.set(Some(Word {
             asked,
@@ -422,9 +444,12 @@
         }
     }
 
-    /// Keeps at least one connection to a member.
+    /// Keeps at least one connection to a member, and tries a new one when it has fallen silent.
     pub fn ensure(&self, member: &Rc<Member>) {
-        if member.open.get() == 0 && self.may_open(member) {
+        let silent = member.silent_for(Ms::now()) >= PROBE_MS && member.down.get().is_none();
+        if silent && !member.opening.get() && !member.gone.get() {
+            self.open(member);
+        } else if member.open.get() == 0 && self.may_open(member) {
             self.open(member);
         }
     }
@@ -465,7 +490,9 @@
         }
         member.refused.set(e.is_refused());
         if member.down.get().is_none() {
-            member.down.set(Some(now));
+            // Questions may have gone unanswered for longer than the attempt took.
+            let silent = member.silent_for(now).max(if e.is_refused() { 0 } else { CONNECT_MS });
+            member.down.set(Some(Ms(now.0.saturating_sub(silent))));
             emit(
                 Event::MemberLost,
                 &[
@@ -569,6 +596,25 @@
         });
     }
 
+    /// Forgets signs of failure, after this process itself has stood still.
+    pub fn forget_silence(&self) {
+        let now = Ms::now();
+        for member in self.members.borrow().iter() {
+            member.quiet_since.set(now);
+            member.down.set(None);
+        }
+    }
+
+    /// Members listed, and how many of them give no sign of life.
+    pub fn silence(&self) -> (usize, usize) {
+        let now = Ms::now();
+        let listed = self.listed();
+        let silent = listed
+            .iter()
+            .filter(|m| m.down.get().is_some() || m.silent_for(now) >= SILENT_MS);
+        (listed.len(), silent.count())
+    }
+
     /// Whether the primary cannot be used and nothing says that it soon can.
     pub fn is_hopeless(&self) -> bool {
         let now = Ms::now();
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -49,6 +49,8 @@
     pub word: Cell<Option<Word>>,
     /// The status that the word came from.
     pub status: Cell<Option<Status>>,
+    /// Since when it says that it is fenced.
+    pub fenced_since: Cell<Option<Ms>>,
     /// Newest position that it answered with.
     pub pos: Cell<Pos>,
     /// Connections that no session holds, the newest last.
@@ -87,6 +89,7 @@
             heard_at: Cell::new(Ms(0)),
             word: Cell::new(None),
             status: Cell::new(None),
+            fenced_since: Cell::new(None),
             pos: Cell::new(Pos::ZERO),
             idle: RefCell::default(),
             open: Cell::new(0),
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -151,7 +151,15 @@
     pub fn is_ready(&self) -> bool {
         let groups = self.groups.borrow();
         let usable = groups.values().filter(|g| !g.is_hopeless()).count();
-        self.version.get() > 0 && usable * 2 >= groups.len()
+        self.version.get() > 0 && usable * 2 >= groups.len() && !self.is_isolated()
+    }
+
+    /// Whether more than half of all members give no sign of life to this VM.
+    pub fn is_isolated(&self) -> bool {
+        let groups = self.groups.borrow();
+        let sums = groups.values().map(|g| g.silence());
+        let (all, silent) = sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        silent * 2 > all
     }
 
     /// Ends sessions at their next boundary.
--- a/crates/proxy/src/suspect.rs
+++ b/crates/proxy/src/suspect.rs
@@ -7,7 +7,7 @@
 /// Time that refused connections must last before the primary counts as lost, in ms.
 const REFUSED_MS: u64 = 150;
 /// Silence after which a primary counts as lost when it takes no new connection either, in ms.
-const SILENT_MS: u64 = 900;
+const SILENT_MS: u64 = 800;
 /// Time without any primary after which one is made, in ms.
 const NONE_MS: u64 = 700;
 /// Time that commits must hang, with the primary ahead of all replicas, in ms.
--- a/crates/proxy/src/warden.rs
+++ b/crates/proxy/src/warden.rs
@@ -12,12 +12,19 @@
 
 /// Period of looks at the evidence, in ms.
 const LOOK_MS: u64 = 50;
+/// Length of a look from which this process counts as having stood still, in ms.
+const STALL_MS: u64 = 350;
 /// Longest pause before a daemon acts on evidence that others see too, in ms.
-const STAGGER_MS: u64 = 300;
+const STAGGER_MS: u64 = 150;
 /// Time a member has for an order, in ms.
 const ORDER_MS: u64 = 400;
 /// Time after which an ordered promotion counts as failed, in ms.
 const EFFECT_MS: u64 = 2500;
+/// Time after which a fenced replica is taken to be left behind by a change, in ms.
+const LEFT_MS: u64 = 4000;
+/// Time from the claim after which a promotion is no longer ordered, since another daemon may
+/// have taken over, in ms.
+const CLAIM_MS: u64 = 2000;
 /// Pause after a change that failed, in ms.
 const AGAIN_MS: u64 = 300;
 /// Pause while another daemon changes the primary, in ms.
@@ -26,8 +33,14 @@
 /// Runs until the process ends.
 pub async fn watch(proxy: Rc<Proxy>, group: Rc<Group>) {
     loop {
+        let before = Ms::now();
         pause(LOOK_MS).await;
+        if before.elapsed() >= STALL_MS {
+            group.forget_silence();
+            continue;
+        }
         let Some(cause) = suspect(&group.sight(), Ms::now()) else {
+            unfence(&proxy, &group).await;
             continue;
         };
         pause(fastrand::u64(..STAGGER_MS)).await;
@@ -48,6 +61,34 @@
     }
 }
 
+/// Lets replicas receive again that a change left fenced, while the primary serves.
+async fn unfence(proxy: &Proxy, group: &Rc<Group>) {
+    let left = |m: &Rc<Member>| {
+        let since = m.fenced_since.get();
+        since.is_some_and(|at| at.elapsed() >= LEFT_MS) && !m.gone.get()
+    };
+    if !group.listed().iter().any(left) {
+        return;
+    }
+    pause(fastrand::u64(..STAGGER_MS)).await;
+    let left: Vec<_> = group.listed().into_iter().filter(left).collect();
+    if left.is_empty() || (proxy.orders.claim)(group.name.clone()).await.is_none() {
+        return;
+    }
+    for member in left {
+        let result = order(group, &member, &Command::Resume).await;
+        emit(
+            Event::MemberResumed,
+            &[
+                ("group", &group.name),
+                ("member", &member.id),
+                ("done", &result.is_ok()),
+            ],
+        );
+    }
+    (proxy.orders.release)(group.name.clone()).await;
+}
+
 /// Tells where a change of primary stopped.
 type Step = Box<str>;
 
@@ -67,7 +108,7 @@
             ("change", &token),
         ],
     );
-    let result = steps(proxy, group, old.as_ref(), token).await;
+    let result = steps(proxy, group, old.as_ref(), token, began).await;
     (proxy.orders.release)(group.name.clone()).await;
     let new = result?;
     emit(
@@ -87,6 +128,7 @@
     group: &Rc<Group>,
     old: Option<&Rc<Member>>,
     token: u64,
+    began: Ms,
 ) -> Result<Rc<Member>, Step> {
     let term = group.newest_term() + 1;
     let cohort = group.cohort(old);
@@ -107,6 +149,10 @@
             ("change", &token),
         ],
     );
+    if began.elapsed() >= CLAIM_MS {
+        resume(group, &fenced).await;
+        return Err("the claim is too old".into());
+    }
     let ordered = (proxy.orders.promote)(group.name.clone(), best.id.clone(), token).await;
     emit(
         Event::ChangeOrdered,
