Prove the lease by linked words of replicas

Change: words of all replicas together anchor a lease; a single replica's word counts while it follows its former one closely enough that no change fits between, also through a change.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -9,8 +9,8 @@
 use crate::place::{Need, cost, may_hold};
 use crate::suspect::Sight;
 use crate::{
-    Conn, Dialect, Entry, GroupRule, History, Lost, Member, Rank, Reply, Role, Status, Word,
-    lease_until, predicted_wait,
+    Conn, Dialect, Entry, GroupRule, History, Lease, Lost, Member, Rank, Reply, Role, Status, Word,
+    predicted_wait,
 };
 
 /// Time to open a connection, in ms.
@@ -63,6 +63,7 @@
     waiters: RefCell<Vec<Rc<Waiter>>>,
     /// When this daemon began to follow the group.
     began: Ms,
+    held: RefCell<Lease>,
     had_lease: Cell<bool>,
     me: Weak<Group>,
 }
@@ -103,6 +104,7 @@
             dialect,
             waiters: RefCell::default(),
             began: Ms::now(),
+            held: RefCell::default(),
             had_lease: Cell::new(false),
             me: me.clone(),
         })
@@ -199,9 +201,7 @@
 
     /// The instant until which the primary may be used.
     pub fn lease(&self) -> Ms {
-        let members = self.members.borrow();
-        let words: Vec<Word> = members.iter().filter_map(|m| m.word.get()).collect();
-        lease_until(self.newest_term(), &words)
+        self.held.borrow().until(self.newest_term())
     }
 
     /// What is seen of the primary, for the decision on a change.
@@ -236,13 +236,17 @@
             member.fenced_since.set(Some(asked));
         }
         member.status.set(Some(*status));
-        member.word.set(Some(Word {
+        let word = Word {
             asked,
             role: status.role,
             term: status.term,
-            fenced: status.fenced > 0,
+            fenced: status.fenced,
             up_since,
-        }));
+        };
+        member.word.set(Some(word));
+        let cohort = self.cohort(self.primary().as_ref());
+        let keys: Vec<_> = cohort.iter().map(|m| m.key).collect();
+        self.held.borrow_mut().hear(member.key, word, &keys);
         let same = before.is_some_and(|w| w.role == status.role && w.term == status.term);
         if !same {
             emit(
--- a/crates/proxy/src/keeper.rs
+++ b/crates/proxy/src/keeper.rs
@@ -9,8 +9,8 @@
 
 /// Period of one round, in ms.
 const ROUND_MS: u64 = 100;
-/// Age at which a replica's word is renewed, in ms.
-const RENEW_MS: u64 = 250;
+/// Age at which a replica's word is renewed, in ms; well below the longest link of a lease.
+const RENEW_MS: u64 = 500;
 /// Time a member has for an answer about itself, in ms.
 const ANSWER_MS: u64 = 400;
 /// Age at which the word of a member that the lease does not need is renewed, in ms.
@@ -20,52 +20,44 @@
 
 /// Runs until the process ends.
 pub async fn keep(group: Rc<Group>) {
-    let mut round = 0_usize;
     loop {
         pause(ROUND_MS).await;
-        round += 1;
         group.trim();
         for member in group.listed() {
             group.ensure(&member);
         }
-        for member in due(&group, round) {
+        for member in due(&group) {
             let group = group.clone();
+            member.asking.set(true);
             monoio::spawn(async move {
+                // A failure has been noted with the member.
                 let _ = ask(&group, &member).await;
+                member.asking.set(false);
             });
         }
     }
 }
 
-/// Members to ask now: one replica for the lease, and whoever was not heard for long.
-fn due(group: &Group, round: usize) -> Vec<Rc<Member>> {
+/// Members to ask now: each replica, so that its words stay linked; the primary, when none of its
+/// answers has told its position for a while; and everyone while no primary is known.
+fn due(group: &Group) -> Vec<Rc<Member>> {
     let now = Ms::now();
-    let members = group.listed();
-    let age = |m: &Member| m.word.get().map_or(u64::MAX, |w| now.0 - w.asked.0);
-    let replica = |m: &Member| m.word.get().is_none_or(|w| w.role == Role::Replica);
-    let usable = |m: &Member| m.open.get() > 0;
-    let mut due: Vec<Rc<Member>> = members
-        .iter()
-        .filter(|m| usable(m) && (age(m) >= LOOK_MS || group.primary().is_none()))
-        .cloned()
-        .collect();
-    let replicas: Vec<_> = members.iter().filter(|m| replica(m) && usable(m)).collect();
-    let youngest = replicas.iter().map(|m| age(m)).min();
-    let short = group.lease().left() < crate::lease::LEASE_MS - RENEW_MS;
-    if youngest.is_some_and(|age| age >= RENEW_MS) || short {
-        let settled = replicas.iter().filter(|m| age(m) >= ROUND_MS);
-        let settled: Vec<_> = settled.collect();
-        if let Some(m) = settled.get(round % settled.len().max(1)) {
-            due.push((**m).clone());
-        }
-    }
-    let stale = group.history.borrow().newest();
-    if stale.is_none_or(|at| now.0 - at.0 >= POSITION_MS) {
-        due.extend(group.primary());
-    }
-    due.sort_by(|a, b| a.id.cmp(&b.id));
-    due.dedup_by(|a, b| a.id == b.id);
-    due
+    let position = group.history.borrow().newest();
+    let position_old = position.is_none_or(|at| now.0 - at.0 >= POSITION_MS);
+    let lost = group.primary().is_none() || group.lease() <= now;
+    let is_due = |m: &Rc<Member>| {
+        let word = m.word.get();
+        let age = word.map_or(u64::MAX, |w| now.0 - w.asked.0);
+        let leads = word.is_some_and(|w| w.role == Role::Primary);
+        let most = match (lost, leads) {
+            (true, _) => ROUND_MS,
+            (false, false) => RENEW_MS,
+            (false, true) if position_old => POSITION_MS,
+            (false, true) => LOOK_MS,
+        };
+        m.open.get() > 0 && age >= most && !m.asking.get()
+    };
+    group.listed().into_iter().filter(is_due).collect()
 }
 
 async fn ask(group: &Rc<Group>, member: &Rc<Member>) -> Result<(), Lost> {
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -16,8 +16,8 @@
 const FIRST_COST_MS: f64 = 12.0;
 
 /// Names a member within one daemon; never used again for another.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Key(u64);
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Key(pub u64);
 
 thread_local! {
     static NEXT: Cell<u64> = const { Cell::new(0) };
@@ -65,6 +65,8 @@
     pub(crate) down: Cell<Option<Ms>>,
     /// Whether the latest failure was a refused or reset connection.
     pub(crate) refused: Cell<bool>,
+    /// Whether it is being asked about itself.
+    pub(crate) asking: Cell<bool>,
     /// Statements that wait for its answer.
     pub(crate) running: Cell<u64>,
     /// When it was last heard, or a question was sent to it while none was waiting.
@@ -97,6 +99,7 @@
             retry_at: Cell::new(Ms(0)),
             down: Cell::new(None),
             refused: Cell::new(false),
+            asking: Cell::new(false),
             running: Cell::new(0),
             quiet_since: Cell::new(Ms(0)),
             behind_at: Cell::new(Ms(0)),
@@ -117,7 +120,7 @@
 
     /// Whether it said that it is fenced for a change of primary.
     pub fn is_fenced(&self) -> bool {
-        self.word.get().is_some_and(|w| w.fenced)
+        self.word.get().is_some_and(|w| w.fenced > 0)
     }
 
     /// Counts the time that a statement took.
