--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -32,7 +32,7 @@
 /// Silence after which a member counts as out of reach of this VM, in ms.
 const SILENT_MS: u64 = 500;
 /// Longest wait for a connection for a question of the daemon's own, in ms.
-const CONTROL_MS: u64 = 300;
+const CONTROL_MS: u64 = 150;
 /// Time after which a member that has left no longer matters for a change of primary, counted
 /// from its last sign of life to the primary's, in ms.
 const SETTLE_MS: u64 = 1000;
@@ -543,6 +543,14 @@
         Ok(status)
     }
 
+    /// Opens a connection for an order.
+    ///
+    /// # Errors
+    /// As `Conn::open`.
+    pub async fn connect(&self, member: &Rc<Member>) -> Result<Conn, Lost> {
+        Conn::open(member.clone(), self.dialect, CONNECT_MS).await
+    }
+
     /// Takes a connection for a question of the daemon's own, before all callers' statements.
     ///
     /// # Errors
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -2,11 +2,12 @@
 //!
 //! A change of primary first fences every replica, and takes effect `CHANGE_MS` later at the
 //! earliest. A replica is fenced all that time; then the promoted one says so, while another may
-//! say for a moment that it is neither fenced nor of a newer term. So the words of all replicas
-//! together prove that no change had begun when the first of them was asked. From then on one
-//! replica suffices, as long as its words follow each other so closely that no change fits
-//! between them, on a connection that is older than the former word: a restart forgets the fence.
-//! A replica that was fenced for a change and then follows its term goes on proving, too.
+//! say for a moment, or for long if it receives nothing, that it is neither fenced nor of a newer
+//! term. So the words of all replicas together prove that no change had begun when the first of
+//! them was asked. From then on one replica suffices, as long as its words follow each other so
+//! closely that no change fits between them, on a connection that is older than the former word: a
+//! restart forgets the fence. Once it was fenced, that change may have taken effect, so it proves
+//! something only for the primary of that change's term.
 
 use std::collections::BTreeMap;
 
@@ -38,25 +39,26 @@
 }
 
 impl Word {
-    fn supports(&self, term: u64) -> bool {
-        self.role == Role::Replica && self.term == term && self.fenced == 0
+    fn is_free(&self) -> bool {
+        self.role == Role::Replica && self.fenced == 0
     }
 
-    /// Whether no change of primary can have taken effect between `before` and this word, other
-    /// than the one that `before` was fenced for and that this word follows.
+    /// Whether no whole change of primary fits between a former word and this one.
     fn follows(&self, before: &Word) -> bool {
         let near = self.asked.0.saturating_sub(before.asked.0) <= LINK_MS;
-        let same_life = self.up_since <= before.asked;
-        let step = match (before.fenced, self.fenced) {
-            (0, 0) => self.term == before.term,
-            (0, fence) => self.term == before.term && fence > self.term,
-            (fence, 0) => self.term == fence,
-            (fence, now) => self.term == before.term && now == fence,
-        };
-        near && same_life && step && self.role == Role::Replica
+        near && self.up_since <= before.asked && self.role == Role::Replica
     }
 }
 
+/// What the words of one replica prove.
+#[derive(Clone, Copy, Debug)]
+struct Proof {
+    /// Its newest word.
+    word: Word,
+    /// Highest term of a change that may have taken effect when it was asked, if that is known.
+    bound: Option<u64>,
+}
+
 /// The lease on the primary of the newest known term.
 #[derive(Clone, Debug, Default)]
 pub struct Lease {
@@ -64,8 +66,8 @@
     term: u64,
     /// Instant until which the primary may be used.
     until: Ms,
-    /// The newest word of each replica, and whether it proves something alone.
-    words: BTreeMap<Key, (Word, bool)>,
+    /// Proofs by member.
+    proofs: BTreeMap<Key, Proof>,
 }
 
 impl Lease {
@@ -80,13 +82,12 @@
             self.term = word.term;
             self.until = Ms(0);
         }
-        let before = self.words.get(&key);
-        let linked = before.is_some_and(|(before, proven)| *proven && word.follows(before));
-        self.words.insert(key, (word, linked));
-        if !word.supports(self.term) {
-            return;
-        }
-        if linked {
+        let before = self.proofs.get(&key);
+        let linked = before.filter(|proof| word.follows(&proof.word));
+        let bound = linked.and_then(|proof| proof.bound);
+        let bound = bound.map(|term| term.max(word.term).max(word.fenced));
+        self.proofs.insert(key, Proof { word, bound });
+        if word.is_free() && bound.is_some_and(|term| term <= self.term) {
             self.until = self.until.max(word.asked.plus(LEASE_MS));
         }
         self.anchor(word.asked, replicas);
@@ -94,25 +95,21 @@
 
     /// Proves the words of all replicas together.
     fn anchor(&mut self, now: Ms, replicas: &[Key]) {
-        if replicas.is_empty() {
-            return;
-        }
         let mut first = now;
         for key in replicas {
-            let Some((word, _)) = self.words.get(key) else {
-                return;
-            };
-            if !word.supports(self.term) {
-                return;
+            match self.proofs.get(key) {
+                Some(Proof { word, .. }) if word.is_free() && word.term == self.term => {
+                    first = first.min(word.asked);
+                }
+                _ => return,
             }
-            first = first.min(word.asked);
         }
-        if now.0.saturating_sub(first.0) > LINK_MS {
+        if replicas.is_empty() || now.0.saturating_sub(first.0) > LINK_MS {
             return;
         }
         for key in replicas {
-            if let Some((_, proven)) = self.words.get_mut(key) {
-                *proven = true;
+            if let Some(proof) = self.proofs.get_mut(key) {
+                proof.bound = Some(self.term);
             }
         }
         self.until = self.until.max(first.plus(LEASE_MS));
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -156,10 +156,15 @@
 
     /// Whether more than half of all members give no sign of life to this VM.
     pub fn is_isolated(&self) -> bool {
+        let (all, silent) = self.silence();
+        silent * 2 > all
+    }
+
+    /// Members of all groups, and how many of them give no sign of life to this VM.
+    pub fn silence(&self) -> (usize, usize) {
         let groups = self.groups.borrow();
         let sums = groups.values().map(|g| g.silence());
-        let (all, silent) = sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
-        silent * 2 > all
+        sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
     }
 
     /// Ends sessions at their next boundary.
--- a/crates/proxy/src/warden.rs
+++ b/crates/proxy/src/warden.rs
@@ -251,7 +251,11 @@
     member: &Rc<Member>,
     command: &Command<'_>,
 ) -> Result<Status, Lost> {
-    let mut conn = group.control(member).await?;
+    let mut conn = match group.control(member).await {
+        Ok(conn) => conn,
+        // Callers hold all connections; an order is worth one more.
+        Err(_) => group.connect(member).await?,
+    };
     let status = group.ask(&mut conn, command, ORDER_MS).await?;
     group.put(conn);
     Ok(status)
