--- a/crates/pg/src/caller.rs
+++ b/crates/pg/src/caller.rs
@@ -14,8 +14,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::frame::{Frame, FrameError, cstr};
-use link::{Io, Link};
 use crate::login::{Verifier, exchange};
+use link::{Io, Link};
 
 /// Longest start-up message.
 const STARTUP_LIMIT: usize = 10_000;
--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -60,11 +60,7 @@
     ///
     /// # Errors
     /// `Lost::Refused` when the member answers but does not take the connection.
-    pub async fn open(
-        member: Rc<Member>,
-        dialect: Dialect,
-        within: u64,
-    ) -> Result<Conn, Lost> {
+    pub async fn open(member: Rc<Member>, dialect: Dialect, within: u64) -> Result<Conn, Lost> {
         let group = member.entry.borrow().group.clone();
         let opened = Ms::now();
         let connect = TcpStream::connect_addr(member.addr);
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -112,8 +112,9 @@
             return Ok(Need::Primary(arrival));
         }
         let history = self.group.history.borrow();
-        read_need(self.route.freshness, arrival, self.own, &history)
-            .ok_or_else(|| Reply::error(ErrorKind::Behind, "no position is known to be fresh enough"))
+        read_need(self.route.freshness, arrival, self.own, &history).ok_or_else(|| {
+            Reply::error(ErrorKind::Behind, "no position is known to be fresh enough")
+        })
     }
 
     /// Longest wait for one attempt.
@@ -121,7 +122,9 @@
         if write {
             return self.until.left();
         }
-        (self.route.timeout / 2).max(PATIENCE_MS).min(self.until.left())
+        (self.route.timeout / 2)
+            .max(PATIENCE_MS)
+            .min(self.until.left())
     }
 
     /// Gets a connection for it, or the refusal.
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -215,13 +215,18 @@
         let oldest = self.writes.borrow().iter().min().copied();
         Sight {
             has_primary: primary.is_some() || claimed.is_some(),
-            unknown: listed.iter().any(|m| m.word.get().is_none() && m.down.get().is_none()),
+            unknown: listed
+                .iter()
+                .any(|m| m.word.get().is_none() && m.down.get().is_none()),
             none_since: self.none_since.get(),
             changing: listed.iter().any(|m| m.is_fenced()),
             draining: primary.as_ref().is_some_and(|p| p.entry.borrow().draining),
             gone: primary.as_ref().is_some_and(|p| p.gone.get()),
             down: primary.as_ref().or(claimed).and_then(|p| p.down.get()),
-            refused: primary.as_ref().or(claimed).is_some_and(|p| p.refused.get()),
+            refused: primary
+                .as_ref()
+                .or(claimed)
+                .is_some_and(|p| p.refused.get()),
             stuck: oldest,
             replicas: replicas.count().saturating_sub(1),
         }
@@ -238,6 +243,7 @@
         member.status.set(Some(*status));
         let word = Word {
             asked,
+            heard: Ms::now(),
             role: status.role,
             term: status.term,
             fenced: status.fenced,
@@ -319,7 +325,9 @@
         if matches!(need, Need::Primary(_)) && self.is_hopeless() {
             return Err(Refusal::NoPrimary);
         }
-        if self.wait_ahead(need, &rank, now) > f64::from(u32::try_from(rank.until.left()).unwrap_or(u32::MAX)) {
+        if self.wait_ahead(need, &rank, now)
+            > f64::from(u32::try_from(rank.until.left()).unwrap_or(u32::MAX))
+        {
             return Err(Refusal::Full);
         }
         let waiter = Rc::new(Waiter {
@@ -342,9 +350,8 @@
     fn wait_ahead(&self, need: Need, rank: &Rank, now: Ms) -> f64 {
         let waiters = self.waiters.borrow();
         let before = |w: &&Rc<Waiter>| w.rank.key(now) <= rank.key(now);
-        let same = |w: &&Rc<Waiter>| {
-            !matches!(w.need, Need::Holds(_)) || matches!(need, Need::Holds(_))
-        };
+        let same =
+            |w: &&Rc<Waiter>| !matches!(w.need, Need::Holds(_)) || matches!(need, Need::Holds(_));
         let ahead = waiters.iter().filter(before).filter(same).count();
         let members = self.members.borrow();
         let fitting = members.iter().filter(|m| self.fits(m, need, now));
@@ -363,9 +370,7 @@
             let best = {
                 let members = self.members.borrow();
                 let able = members.iter().filter(|m| {
-                    !m.idle.borrow().is_empty()
-                        && !avoid.contains(&m.id)
-                        && self.fits(m, need, now)
+                    !m.idle.borrow().is_empty() && !avoid.contains(&m.id) && self.fits(m, need, now)
                 });
                 able.min_by(|a, b| cost(a, &self.home, now).total_cmp(&cost(b, &self.home, now)))
                     .cloned()
@@ -412,7 +417,9 @@
                 able.min_by(|a, b| cost(a, &self.home, now).total_cmp(&cost(b, &self.home, now)));
             let Some(best) = best else { continue };
             *waiter.given.borrow_mut() = best.idle.borrow_mut().pop();
-            self.waiters.borrow_mut().retain(|w| !Rc::ptr_eq(w, &waiter));
+            self.waiters
+                .borrow_mut()
+                .retain(|w| !Rc::ptr_eq(w, &waiter));
             waiter.ready.notify();
         }
     }
@@ -451,15 +458,16 @@
     /// Keeps at least one connection to a member, and tries a new one when it has fallen silent.
     pub fn ensure(&self, member: &Rc<Member>) {
         let silent = member.silent_for(Ms::now()) >= PROBE_MS && member.down.get().is_none();
-        if silent && !member.opening.get() && !member.gone.get() {
-            self.open(member);
-        } else if member.open.get() == 0 && self.may_open(member) {
+        let probe = silent && !member.opening.get() && !member.gone.get();
+        if probe || (member.open.get() == 0 && self.may_open(member)) {
             self.open(member);
         }
     }
 
     fn open(&self, member: &Rc<Member>) {
-        let Some(group) = self.me.upgrade() else { return };
+        let Some(group) = self.me.upgrade() else {
+            return;
+        };
         member.opening.set(true);
         let member = member.clone();
         monoio::spawn(async move {
@@ -480,7 +488,10 @@
                 &[("group", &self.name), ("member", &member.id)],
             );
         }
-        match self.ask(&mut conn, &crate::Command::Status, CONNECT_MS).await {
+        match self
+            .ask(&mut conn, &crate::Command::Status, CONNECT_MS)
+            .await
+        {
             Ok(_) => self.put(conn),
             Err(e) => self.not_opened(&member, &e),
         }
@@ -495,15 +506,13 @@
         member.refused.set(e.is_refused());
         if member.down.get().is_none() {
             // Questions may have gone unanswered for longer than the attempt took.
-            let silent = member.silent_for(now).max(if e.is_refused() { 0 } else { CONNECT_MS });
+            let silent = member
+                .silent_for(now)
+                .max(if e.is_refused() { 0 } else { CONNECT_MS });
             member.down.set(Some(Ms(now.0.saturating_sub(silent))));
             emit(
                 Event::MemberLost,
-                &[
-                    ("group", &self.name),
-                    ("member", &member.id),
-                    ("cause", e),
-                ],
+                &[("group", &self.name), ("member", &member.id), ("cause", e)],
             );
         }
         self.notify();
@@ -647,7 +656,11 @@
     /// A position that any read of this session may be served at, for logs.
     pub fn newest_pos(&self) -> Pos {
         let members = self.members.borrow();
-        members.iter().map(|m| m.pos.get()).max().unwrap_or(Pos::ZERO)
+        members
+            .iter()
+            .map(|m| m.pos.get())
+            .max()
+            .unwrap_or(Pos::ZERO)
     }
 }
 
--- a/crates/proxy/src/keeper.rs
+++ b/crates/proxy/src/keeper.rs
@@ -61,7 +61,10 @@
 }
 
 async fn ask(group: &Rc<Group>, member: &Rc<Member>) -> Result<(), Lost> {
-    let mut conn = group.control(member).await.inspect_err(|e| group.on_lost(member, e))?;
+    let mut conn = group
+        .control(member)
+        .await
+        .inspect_err(|e| group.on_lost(member, e))?;
     match group.ask(&mut conn, &Command::Status, ANSWER_MS).await {
         Ok(_) | Err(Lost::Refused(..)) => {
             group.put(conn);
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -3,8 +3,9 @@
 //! A change of primary first fences every replica, and takes effect `CHANGE_MS` later at the
 //! earliest. A replica is fenced all that time; then the promoted one says so, while another may
 //! say for a moment, or for long if it receives nothing, that it is neither fenced nor of a newer
-//! term. So the words of all replicas together prove that no change had begun when the first of
-//! them was asked. From then on one replica suffices, as long as its words follow each other so
+//! term. So once every replica has been heard to be free, and each of them is asked again and is
+//! still free, no change had begun at the first round; a restarted replica, which has forgotten its
+//! fence, cannot deceive, since the promoted one or the other one shows the change. From then on one replica suffices, as long as its words follow each other so
 //! closely that no change fits between them, on a connection that is older than the former word: a
 //! restart forgets the fence. Once it was fenced, that change may have taken effect, so it proves
 //! something only for the primary of that change's term.
@@ -28,6 +29,8 @@
 pub struct Word {
     /// When the question was sent.
     pub asked: Ms,
+    /// When the answer was read.
+    pub heard: Ms,
     /// Its part.
     pub role: Role,
     /// Newest term that it knows.
@@ -55,6 +58,8 @@
 struct Proof {
     /// Its newest word.
     word: Word,
+    /// When the first of its words was heard that say the same and follow each other.
+    same_since: Ms,
     /// Highest term of a change that may have taken effect when it was asked, if that is known.
     bound: Option<u64>,
 }
@@ -86,32 +91,53 @@
         let linked = before.filter(|proof| word.follows(&proof.word));
         let bound = linked.and_then(|proof| proof.bound);
         let bound = bound.map(|term| term.max(word.term).max(word.fenced));
-        self.proofs.insert(key, Proof { word, bound });
-        if word.is_free() && bound.is_some_and(|term| term <= self.term) {
-            self.until = self.until.max(word.asked.plus(LEASE_MS));
+        let same = linked.filter(|p| p.word.term == word.term && p.word.fenced == word.fenced);
+        let proof = Proof {
+            word,
+            same_since: same.map_or(word.heard, |proof| proof.same_since),
+            bound,
+        };
+        self.proofs.insert(key, proof);
+        if bound.is_none() {
+            self.anchor(replicas);
         }
-        self.anchor(word.asked, replicas);
+        self.extend(key);
     }
 
-    /// Proves the words of all replicas together.
-    fn anchor(&mut self, now: Ms, replicas: &[Key]) {
-        let mut first = now;
-        for key in replicas {
-            match self.proofs.get(key) {
-                Some(Proof { word, .. }) if word.is_free() && word.term == self.term => {
-                    first = first.min(word.asked);
-                }
-                _ => return,
-            }
+    /// Lengthens the lease by what a replica's newest word proves.
+    fn extend(&mut self, key: Key) {
+        let Some(proof) = self.proofs.get(&key) else {
+            return;
+        };
+        if proof.word.is_free() && proof.bound.is_some_and(|term| term <= self.term) {
+            self.until = self.until.max(proof.word.asked.plus(LEASE_MS));
+        }
+    }
+
+    /// Proves the words of all replicas together: each is free since before the newest question to
+    /// each of the others.
+    fn anchor(&mut self, replicas: &[Key]) {
+        let proofs: Vec<Proof> = replicas
+            .iter()
+            .filter_map(|key| self.proofs.get(key).copied())
+            .filter(|proof| proof.word.is_free() && proof.word.term == self.term)
+            .collect();
+        if replicas.is_empty() || proofs.len() < replicas.len() {
+            return;
         }
-        if replicas.is_empty() || now.0.saturating_sub(first.0) > LINK_MS {
+        let all_free = proofs
+            .iter()
+            .map(|p| p.same_since)
+            .max()
+            .unwrap_or_default();
+        if proofs.iter().any(|p| p.word.asked < all_free) {
             return;
         }
         for key in replicas {
             if let Some(proof) = self.proofs.get_mut(key) {
                 proof.bound = Some(self.term);
             }
+            self.extend(*key);
         }
-        self.until = self.until.max(first.plus(LEASE_MS));
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -33,6 +33,6 @@
 pub use member::{Key, Member};
 pub use queue::{Rank, predicted_wait};
 pub use session::serve;
-pub use state::{Orders, Proxy, Settings, Token};
+pub use state::{Call, Orders, Promotion, Proxy, Settings, Token};
 pub use statement::{Plan, Request, Statement, Verb};
 pub use suspect::{Cause, Sight, suspect};
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -127,8 +127,7 @@
     pub(crate) fn took(&self, ms: u64, now: Ms) {
         let sample = f64::from(u32::try_from(ms).unwrap_or(u32::MAX));
         let mean = self.cost(now);
-        self.cost
-            .set((now, mean + (sample - mean) * NEWEST_WEIGHT));
+        self.cost.set((now, mean + (sample - mean) * NEWEST_WEIGHT));
     }
 
     /// Mean time of a statement in ms; old samples fade.
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -25,12 +25,7 @@
 }
 
 /// What a read needs, or `None` when no known position is fresh enough.
-pub fn read_need(
-    freshness: Freshness,
-    arrival: Ms,
-    own: Pos,
-    history: &History,
-) -> Option<Need> {
+pub fn read_need(freshness: Freshness, arrival: Ms, own: Pos, history: &History) -> Option<Need> {
     let floor = |age: u64| history.floor(Ms(arrival.0.saturating_sub(age)));
     match freshness {
         Freshness::Newest => Some(Need::Primary(arrival)),
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -11,7 +11,9 @@
 
 use crate::exec::{Context, Work, single};
 use crate::transaction::Transaction;
-use crate::{Dialect, End, ErrorKind, Plan, Proxy, Reply, Request, Statement, TxState, Verb};
+use crate::{
+    Dialect, End, ErrorKind, Plan, Proxy, Reply, Request, Statement, TxState, Verb, WireError,
+};
 
 /// Time a caller has for its greeting, in ms.
 const GREETING_MS: u64 = 10_000;
@@ -38,6 +40,8 @@
 /// What the next message of the caller is, or that there is none.
 enum Next {
     Request(Request),
+    /// Bytes that are no message; nothing after them can be understood.
+    Broken(WireError),
     Idle,
     End,
 }
@@ -60,7 +64,13 @@
     let wait = Duration::from_millis(GREETING_MS);
     let first = monoio::time::timeout(wait, next(proxy.dialect, link));
     let Ok(Next::Request(Request::Hello { database })) = first.await else {
-        return refuse(proxy, link, ErrorKind::Malformed, "a session begins with its database").await;
+        return refuse(
+            proxy,
+            link,
+            ErrorKind::Malformed,
+            "a session begins with its database",
+        )
+        .await;
     };
     if proxy.sessions.get() > proxy.settings.callers {
         return refuse(proxy, link, ErrorKind::TooMany, "too many sessions").await;
@@ -110,9 +120,7 @@
             Ok(Some(request)) => return Next::Request(request),
             Ok(None) => {}
             Err(e) => {
-                return Next::Request(Request::Unknown {
-                    fault: e.to_string().into(),
-                });
+                return Next::Broken(e);
             }
         }
         match link.fill().await {
@@ -136,6 +144,10 @@
                     self.end_idle(proxy).await;
                     continue;
                 }
+                Next::Broken(e) => {
+                    self.break_off(proxy, link, e).await;
+                    return;
+                }
                 Next::End => return,
             };
             let reply = match request {
@@ -150,12 +162,29 @@
                 return;
             }
             // The caller is better served by a daemon that can reach the primaries.
-            if self.state == TxState::Idle && reply.kind() == Some(ErrorKind::Busy) && !proxy.is_ready() {
+            if self.state == TxState::Idle
+                && reply.kind() == Some(ErrorKind::Busy)
+                && !proxy.is_ready()
+            {
                 return;
             }
         }
     }
 
+    /// Tells the caller why its session ends.
+    async fn break_off(&self, proxy: &Proxy, link: &mut Link, e: WireError) {
+        let kind = match e {
+            WireError::TooLong => ErrorKind::TooLarge,
+            WireError::Malformed => ErrorKind::Malformed,
+        };
+        let mut out = BytesMut::new();
+        let reply = self.local(Reply::error(kind, &e.to_string()));
+        (proxy.dialect.reply)(&reply, &mut out);
+        // The session ends whether or not the caller still reads.
+        let _ = link.send(&out).await;
+        let _ = link.shut_down().await;
+    }
+
     /// Waits for the next message, for the end of an idle transaction, or for the daemon to stop.
     async fn wait(&self, proxy: &Rc<Proxy>, link: &mut Link) -> Next {
         let seen = proxy.stop.count();
@@ -209,7 +238,10 @@
         }
         if self.state == TxState::Open && self.tx.is_none() && !ends {
             self.state = TxState::Failed;
-            return self.local(Reply::error(ErrorKind::Aborted, "the transaction rested too long"));
+            return self.local(Reply::error(
+                ErrorKind::Aborted,
+                "the transaction rested too long",
+            ));
         }
         match &statement.verb {
             Verb::Begin { read } => {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -15,14 +15,27 @@
 /// An answer that is waited for.
 pub type Waiting<T> = Pin<Box<dyn Future<Output = T>>>;
 
+/// A call to something outside this crate.
+pub type Call<Q, A> = Box<dyn Fn(Q) -> Waiting<A>>;
+
+/// The promotion of a member.
+pub struct Promotion {
+    /// Its group.
+    pub group: Box<str>,
+    /// The member.
+    pub member: Box<str>,
+    /// The right under which it is ordered.
+    pub token: Token,
+}
+
 /// Calls by which a change of primary is ordered.
 pub struct Orders {
     /// Takes the right to change the primary of a group; `None` when another daemon holds it.
-    pub claim: Box<dyn Fn(Box<str>) -> Waiting<Option<Token>>>,
+    pub claim: Call<Box<str>, Option<Token>>,
     /// Says that a change of a group is over.
-    pub release: Box<dyn Fn(Box<str>) -> Waiting<()>>,
-    /// Orders the promotion of a member of a group under a token; false when it was refused.
-    pub promote: Box<dyn Fn(Box<str>, Box<str>, Token) -> Waiting<bool>>,
+    pub release: Call<Box<str>, ()>,
+    /// Orders a promotion; false when it was refused.
+    pub promote: Call<Promotion, bool>,
 }
 
 /// Settings of one daemon.
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -47,22 +47,22 @@
         self.wrote |= work.write;
         let patience = cx.until.left();
         let conn = self.conn.as_mut().expect("checked above");
-        if conn.set_up(values, work.prepared(), patience).await.is_err() {
+        if conn
+            .set_up(values, work.prepared(), patience)
+            .await
+            .is_err()
+        {
             self.conn = None;
             return ended("the member was lost before the statement");
         }
         let asked = Ms::now();
-        match work.send(conn, None, patience).await {
-            Ok(reply) => {
-                cx.group.on_reply(&conn.member, asked, &reply);
-                conn.member.took(asked.elapsed(), Ms::now());
-                self.keep_or_end(cx.group, reply).await
-            }
-            Err(_) => {
-                self.conn = None;
-                ended("the member gave no answer")
-            }
-        }
+        let Ok(reply) = work.send(conn, None, patience).await else {
+            self.conn = None;
+            return ended("the member gave no answer");
+        };
+        cx.group.on_reply(&conn.member, asked, &reply);
+        conn.member.took(asked.elapsed(), Ms::now());
+        self.keep_or_end(cx.group, reply).await
     }
 
     /// Opens the transaction at a member and runs its first statement, trying members in turn.
--- a/crates/proxy/src/warden.rs
+++ b/crates/proxy/src/warden.rs
@@ -8,7 +8,7 @@
 use base::{Event, Ms, emit};
 
 use crate::state::pause;
-use crate::{Cause, Command, Group, Lost, Member, Proxy, Role, Status, suspect};
+use crate::{Cause, Command, Group, Lost, Member, Promotion, Proxy, Role, Status, suspect};
 
 /// Period of looks at the evidence, in ms.
 const LOOK_MS: u64 = 50;
@@ -153,7 +153,12 @@
         resume(group, &fenced).await;
         return Err("the claim is too old".into());
     }
-    let ordered = (proxy.orders.promote)(group.name.clone(), best.id.clone(), token).await;
+    let promotion = Promotion {
+        group: group.name.clone(),
+        member: best.id.clone(),
+        token,
+    };
+    let ordered = (proxy.orders.promote)(promotion).await;
     emit(
         Event::ChangeOrdered,
         &[
