Stand-ins of the platform, a fault soak, a line for each statement, metrics

Ruled out: growing crates/standin, whose members speak PostgreSQL and keep terms. Change: crates/world (store, members, promotions, with faults), cargo xtask soak (real processes, seeded faults from outside, promises checked from callers' answers and members' logs); a line for each statement through a bounded queue that never blocks, 200 lines a second for each event; counters and histograms as OpenMetrics text.

--- a/crates/hollyreach/src/main.rs
+++ b/crates/hollyreach/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod config;
 mod operator;
+mod sink;
 mod status;
 
 use args::{Command, ConfigCommand, ReportCommand};
@@ -24,8 +25,11 @@
                 record.args()
             )
         })
+        .target(env_logger::Target::Pipe(Box::new(sink::Sink::start())))
         .init();
-    std::process::exit(run(args::parse()));
+    let code = run(args::parse());
+    sink::drain();
+    std::process::exit(code);
 }
 
 fn run(command: Command) -> i32 {
--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -60,7 +60,12 @@
     ///
     /// # Errors
     /// `Lost::Refused` when the member answers but does not take the connection.
-    pub async fn open(member: Rc<Member>, dialect: Dialect, within: u64) -> Result<Conn, Lost> {
+    pub async fn open(
+        member: Rc<Member>,
+        dialect: Dialect,
+        from: &str,
+        within: u64,
+    ) -> Result<Conn, Lost> {
         let group = member.entry.borrow().group.clone();
         let opened = Ms::now();
         let connect = TcpStream::connect_addr(member.addr);
@@ -86,6 +91,7 @@
         let mut out = BytesMut::new();
         let id = conn.member.id.clone();
         let hello = Hello {
+            from,
             group: &group,
             member: &id,
         };
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -116,6 +116,8 @@
 /// How a connection to a member begins.
 #[derive(Clone, Copy, Debug)]
 pub struct Hello<'a> {
+    /// Name of the VM that connects.
+    pub from: &'a str,
     /// Name of the group.
     pub group: &'a str,
     /// Identifier that the member must have.
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -1,5 +1,6 @@
 //! Runs single statements: places them, tries again where that is harmless, and judges answers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use base::{Event, Ms, emit};
@@ -94,6 +95,8 @@
     pub own: Pos,
     /// When its time is over.
     pub until: Ms,
+    /// The member that it was sent to last.
+    pub member: RefCell<Box<str>>,
 }
 
 impl Context<'_> {
@@ -132,6 +135,9 @@
         let rank = self.rank(work.arrival);
         let avoid = tries.avoid.clone();
         let result = self.group.acquire(need, rank, avoid).await;
+        if let Ok(conn) = &result {
+            self.member.replace(conn.member.id.clone());
+        }
         result.map_err(|refusal| self.refuse(work, refusal, tries))
     }
 
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -9,8 +9,8 @@
 use crate::place::{Need, cost, may_hold};
 use crate::suspect::Sight;
 use crate::{
-    Conn, Dialect, Entry, GroupRule, History, Lease, Lost, Member, Rank, Reply, Role, Status, Word,
-    predicted_wait,
+    Conn, Dialect, Entry, GroupRule, History, Lease, Lost, Member, Rank, Reply, Role, Settings,
+    Status, Word, predicted_wait,
 };
 
 /// Time to open a connection, in ms.
@@ -57,6 +57,8 @@
     pub none_since: Cell<Ms>,
     /// Oldest write that waits for its answer.
     pub writes: RefCell<Vec<Ms>>,
+    /// Name of this VM.
+    vm: Box<str>,
     /// Data centre of this VM.
     pub(crate) home: Box<str>,
     pub(crate) dialect: Dialect,
@@ -91,7 +93,7 @@
 
 impl Group {
     /// An empty group.
-    pub fn new(rule: GroupRule, home: &str, dialect: Dialect) -> Rc<Group> {
+    pub fn new(rule: GroupRule, settings: &Settings, dialect: Dialect) -> Rc<Group> {
         Rc::new_cyclic(|me| Group {
             name: rule.name.clone(),
             rule: RefCell::new(rule),
@@ -100,7 +102,8 @@
             changed: Signal::default(),
             none_since: Cell::new(Ms::now()),
             writes: RefCell::default(),
-            home: home.into(),
+            vm: settings.name.clone(),
+            home: settings.data_center.clone(),
             dialect,
             waiters: RefCell::default(),
             began: Ms::now(),
@@ -471,7 +474,7 @@
         member.opening.set(true);
         let member = member.clone();
         monoio::spawn(async move {
-            let result = Conn::open(member.clone(), group.dialect, CONNECT_MS).await;
+            let result = Conn::open(member.clone(), group.dialect, &group.vm, CONNECT_MS).await;
             member.opening.set(false);
             match result {
                 Ok(conn) => group.opened(conn).await,
@@ -557,7 +560,7 @@
     /// # Errors
     /// As `Conn::open`.
     pub async fn connect(&self, member: &Rc<Member>) -> Result<Conn, Lost> {
-        Conn::open(member.clone(), self.dialect, CONNECT_MS).await
+        Conn::open(member.clone(), self.dialect, &self.vm, CONNECT_MS).await
     }
 
     /// Takes a connection for a question of the daemon's own, before all callers' statements.
@@ -566,7 +569,7 @@
     /// As `Conn::open`; `Lost::Slow` when none became free.
     pub async fn control(&self, member: &Rc<Member>) -> Result<Conn, Lost> {
         if member.open.get() == 0 {
-            return Conn::open(member.clone(), self.dialect, CONNECT_MS).await;
+            return Conn::open(member.clone(), self.dialect, &self.vm, CONNECT_MS).await;
         }
         let now = Ms::now();
         let rank = Rank {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,5 +1,6 @@
 //! One caller's session, from its greeting to its end.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -320,8 +321,10 @@
             route: &route,
             own: self.own,
             until: arrival.plus(route.timeout),
+            member: RefCell::default(),
         };
         let reply = tx.commit(&cx, &work, &self.values).await;
+        proxy.note(&cx, &work, &reply);
         self.took(&reply, true);
         self.local(reply)
     }
@@ -335,11 +338,13 @@
             route: &route,
             own: self.own,
             until: work.arrival.plus(route.timeout),
+            member: RefCell::default(),
         };
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &work, &self.values).await,
             None => single(&cx, &work, &self.values).await,
         };
+        proxy.note(&cx, &work, &reply);
         if self.tx.is_some() && reply.kind().is_some() {
             self.tx = None;
             self.state = TxState::Failed;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,7 +8,13 @@
 
 use base::{Event, Ms, Signal, emit};
 
-use crate::{Config, Dialect, Entry, Group, Route, keeper, warden};
+use schema::Pos;
+
+use crate::exec::{Context, Work};
+use crate::stats::Labels;
+use crate::{
+    Config, Dialect, Entry, ErrorKind, Group, Outcome, Reply, Route, Stats, keeper, warden,
+};
 
 /// A number that grows whenever the right to order changes of primary passes on.
 pub type Token = u64;
@@ -65,6 +71,8 @@
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
     /// Time after which an idle transaction is ended, in ms.
     pub tx_idle: Cell<u64>,
+    /// What is counted and measured.
+    pub stats: Stats,
     /// Open sessions.
     pub sessions: Cell<u64>,
     /// Whether sessions end at their next boundary.
@@ -86,6 +94,7 @@
             routes: RefCell::default(),
             groups: RefCell::default(),
             tx_idle: Cell::new(u64::MAX),
+            stats: Stats::default(),
             sessions: Cell::new(0),
             closing: Cell::new(false),
             stop: Signal::default(),
@@ -125,7 +134,7 @@
             group.rule.replace(rule.clone());
             return;
         }
-        let group = Group::new(rule.clone(), &self.settings.data_center, self.dialect);
+        let group = Group::new(rule.clone(), &self.settings, self.dialect);
         self.groups
             .borrow_mut()
             .insert(rule.name.clone(), group.clone());
@@ -180,6 +189,44 @@
         sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
     }
 
+    /// Logs and counts the answer to a statement.
+    pub(crate) fn note(&self, cx: &Context, work: &Work, reply: &Reply) {
+        let took = work.arrival.elapsed();
+        let outcome = match reply.kind() {
+            None => Outcome::Served,
+            Some(ErrorKind::InDoubt) => Outcome::InDoubt,
+            Some(kind) if kind.is_not_run() || kind == ErrorKind::Aborted => Outcome::NotRun,
+            Some(_) => Outcome::Failed,
+        };
+        let labels = Labels {
+            group: cx.group.name.to_string(),
+            outcome,
+            write: if work.write { "true" } else { "false" },
+        };
+        self.stats.statements.get_or_create(&labels).inc();
+        self.stats.latency.observe(millis(took));
+        emit(
+            if outcome == Outcome::Served {
+                Event::Served
+            } else {
+                Event::Answered
+            },
+            &[
+                ("id", &work.statement.id),
+                ("database", &cx.route.database),
+                ("outcome", &format!("{outcome:?}")),
+                (
+                    "kind",
+                    &reply.kind().map_or(String::new(), |k| format!("{k:?}")),
+                ),
+                ("member", &cx.member.borrow()),
+                ("pos", &reply.pos.unwrap_or(Pos::ZERO)),
+                ("config", &self.version.get()),
+                ("took_ms", &took),
+            ],
+        );
+    }
+
     /// Ends sessions at their next boundary.
     pub fn close(&self) {
         self.closing.set(true);
@@ -205,6 +252,11 @@
 /// Period of looks for the first configuration, in ms.
 const CONFIG_LOOK_MS: u64 = 20;
 
+/// A time as a sample of a histogram.
+fn millis(ms: u64) -> f64 {
+    f64::from(u32::try_from(ms).unwrap_or(u32::MAX))
+}
+
 /// Waits some milliseconds.
 pub(crate) async fn pause(ms: u64) {
     monoio::time::sleep(std::time::Duration::from_millis(ms)).await;
--- a/crates/proxy/src/warden.rs
+++ b/crates/proxy/src/warden.rs
@@ -111,6 +111,7 @@
     let result = steps(proxy, group, old.as_ref(), token, began).await;
     (proxy.orders.release)(group.name.clone()).await;
     let new = result?;
+    proxy.stats.changes.inc();
     emit(
         Event::ChangeDone,
         &[
--- /dev/null
+++ b/crates/world/src/lib.rs
@@ -0,0 +1,125 @@
+//! Stand-ins of the users' platform, in one process: the metadata store, database members and the
+//! API that promotes them, as their pages say, with faults.
+//!
+//! Tests only. What members ran and acknowledged is kept, so that promises can be checked.
+
+mod api;
+mod group;
+mod member;
+mod store;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use serde_json::{Value, json};
+
+pub use group::{Entry, Group, Member};
+pub use store::{Outage, Store};
+
+/// A promotion that was ordered.
+pub struct Order {
+    /// The group.
+    pub group: Box<str>,
+    /// The token.
+    pub token: u64,
+    /// Who ordered it.
+    pub holder: Box<str>,
+}
+
+/// Everything that the daemons talk to.
+pub struct World {
+    /// The metadata store.
+    pub store: Rc<Store>,
+    /// Groups of members.
+    pub groups: Vec<Rc<Group>>,
+    /// Version of the configuration.
+    version: Cell<u64>,
+    /// Promotions that were ordered.
+    pub promotions: RefCell<Vec<Order>>,
+}
+
+impl World {
+    /// Starts groups of three members each, and puts a configuration in force.
+    ///
+    /// # Panics
+    /// When no port can be bound.
+    pub fn start(groups: usize, promote_ms: u64) -> Rc<World> {
+        let store = Rc::new(Store::default());
+        let groups = (0..groups)
+            .map(|g| Group::start(&format!("g{g}"), promote_ms, &store))
+            .collect();
+        let world = Rc::new(World {
+            store,
+            groups,
+            version: Cell::new(0),
+            promotions: RefCell::default(),
+        });
+        world.configure(0);
+        world
+    }
+
+    /// Writes the next configuration, with some routes that nobody uses.
+    pub fn configure(&self, more: usize) {
+        self.version.set(self.version.get() + 1);
+        let mut routes = Vec::new();
+        for group in &self.groups {
+            for (host, kind, age) in [
+                ("newest", "primary", 0),
+                ("own", "read_your_writes", 2500),
+                ("aged", "bounded_staleness", 1500),
+            ] {
+                routes.push(route(
+                    &format!("{}-{host}", group.name),
+                    &group.name,
+                    kind,
+                    age,
+                ));
+            }
+        }
+        for n in 0..more {
+            routes.push(route(
+                &format!("more-{n}"),
+                &self.groups[0].name,
+                "primary",
+                0,
+            ));
+        }
+        let services: Vec<Value> = self
+            .groups
+            .iter()
+            .map(|g| json!({"name": &*g.name, "max_conns": member::CONNS, "sync_replicas": 1}))
+            .collect();
+        let spec = json!({
+            "version": self.version.get(), "routes": routes, "services": services,
+            "limits": {"tx_idle_ms": 3000}
+        });
+        self.store.put("config", "main", &spec);
+    }
+
+    /// The group with a name.
+    pub fn group(&self, name: &str) -> Option<&Rc<Group>> {
+        self.groups.iter().find(|g| &*g.name == name)
+    }
+
+    /// Opens the store and the promotion API for one daemon; returns their addresses.
+    ///
+    /// # Panics
+    /// When no port can be bound.
+    pub fn open_for(self: &Rc<Self>, daemon: &str) -> (String, String) {
+        (
+            api::serve_store(self.clone(), daemon),
+            api::serve_orders(self.clone(), daemon),
+        )
+    }
+}
+
+fn route(host: &str, group: &str, kind: &str, age: u64) -> Value {
+    json!({
+        "name": host, "host": host, "type": kind, "timeout_ms": 800, "target_latency_ms": 200,
+        "priority": 1, "service": group, "max_staleness_ms": age
+    })
+}
+
+pub(crate) async fn pause(ms: u64) {
+    monoio::time::sleep(std::time::Duration::from_millis(ms)).await;
+}
--- a/xtask/src/cluster/mod.rs
+++ b/xtask/src/cluster/mod.rs
@@ -10,7 +10,7 @@
 mod publish;
 
 pub use deploy::{Deployment, GroupPlan, lakeshore, oprawka, password_of};
-pub use process::{Process, interrupted};
+pub use process::{Process, Spawner, interrupted};
 
 use std::fmt::Write;
 use std::path::PathBuf;
@@ -19,7 +19,6 @@
 use serde_json::Value;
 
 use crate::codegen::root;
-use process::Spawner;
 
 /// Data centres of every test fleet.
 pub const CENTERS: [u8; 3] = [1, 2, 3];
@@ -462,6 +461,7 @@
 }
 
 /// Path of the crate folder of the binaries' build.
-fn target() -> PathBuf {
+/// Folder of the build.
+pub fn target() -> PathBuf {
     std::env::var_os("CARGO_TARGET_DIR").map_or_else(|| root().join("target"), PathBuf::from)
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod measure;
 mod prove;
+mod soak;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 
@@ -14,6 +15,7 @@
     Demo(demo::Options),
     Prove(prove::Options),
     Measure(measure::What),
+    Soak(soak::Options),
 }
 
 fn seed() -> impl Parser<u64> {
@@ -83,7 +85,32 @@
         .to_options()
         .descr("Measure and print a table")
         .command("measure");
-    construct!([codegen, demo, prove, measure]).to_options()
+    let seconds = long("seconds")
+        .help("time under faults")
+        .argument::<u64>("S")
+        .fallback(12);
+    let daemons = long("daemons")
+        .help("daemons to run")
+        .argument::<usize>("N")
+        .fallback(5);
+    let count = long("seeds")
+        .help("seeds to run, from the first one on")
+        .argument::<u64>("N")
+        .fallback(1);
+    let kept = long("kept").help("run the seeds that once failed").switch();
+    let seed = self::seed();
+    let options = construct!(soak::Options {
+        seed,
+        count,
+        seconds,
+        daemons,
+        kept
+    });
+    let soak = construct!(Chore::Soak(options))
+        .to_options()
+        .descr("Run daemons against stand-ins of the platform under random faults")
+        .command("soak");
+    construct!([codegen, demo, prove, measure, soak]).to_options()
 }
 
 fn main() {
@@ -92,6 +119,7 @@
         Chore::Demo(options) => demo::demo(&options),
         Chore::Prove(options) => prove::prove(&options),
         Chore::Measure(what) => measure::measure(&what),
+        Chore::Soak(options) => soak::soak(&options),
     };
     if let Err(text) = result {
         eprintln!("xtask: {text}");
--- /dev/null
+++ b/xtask/src/soak/fleet.rs
@@ -0,0 +1,139 @@
+//! The daemons of a soak, as processes.
+
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use base::Ms;
+use link::Link;
+use monoio::net::TcpStream;
+use world::World;
+
+use crate::cluster::{Process, Spawner};
+
+use super::pause;
+
+/// One daemon.
+pub struct Daemon {
+    /// Name of its VM.
+    pub name: String,
+    /// Address for callers.
+    pub listen: String,
+    ready: String,
+    settings: String,
+    process: RefCell<Option<Process>>,
+}
+
+/// All daemons.
+pub struct Fleet {
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    spawner: Rc<Spawner>,
+    seed: u64,
+}
+
+fn free_addr() -> Result<String, String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    let addr = listener.local_addr().map_err(|e| e.to_string())?;
+    Ok(addr.to_string())
+}
+
+impl Fleet {
+    /// Writes the settings and starts the daemons.
+    pub fn start(
+        world: &Rc<World>,
+        spawner: Rc<Spawner>,
+        seed: u64,
+        count: usize,
+    ) -> Result<Rc<Fleet>, String> {
+        let folder = crate::cluster::target().join("soak");
+        let mut daemons = Vec::new();
+        for n in 0..count {
+            let name = format!("vm-{n}");
+            let (store, orders) = world.open_for(&name);
+            let (listen, ready) = (free_addr()?, free_addr()?);
+            let settings = folder.join(format!("{seed}-{name}.yaml"));
+            let text = format!(
+                "name: {name}\ndata_center: z{}\nlisten: {listen}\nready: {ready}\n\
+                 store: {store}\norders: {orders}\ngrace_ms: 4000\n",
+                n % 3
+            );
+            std::fs::write(&settings, text).map_err(|e| e.to_string())?;
+            daemons.push(Daemon {
+                name,
+                listen,
+                ready,
+                settings: settings.display().to_string(),
+                process: RefCell::new(None),
+            });
+        }
+        let fleet = Rc::new(Fleet {
+            daemons,
+            spawner,
+            seed,
+        });
+        for daemon in &fleet.daemons {
+            fleet.launch(daemon)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a daemon's process, ending the former one first.
+    pub fn launch(&self, daemon: &Daemon) -> Result<(), String> {
+        if let Some(mut old) = daemon.process.take() {
+            old.kill();
+        }
+        let args = ["gateway", "--config", &daemon.settings].map(str::to_owned);
+        let log = format!("{}-{}", self.seed, daemon.name);
+        let process = self.spawner.daemon(&log, &args)?;
+        daemon.process.replace(Some(process));
+        Ok(())
+    }
+
+    /// Waits until every daemon is ready.
+    pub async fn await_ready(&self, until: Ms) -> Result<(), String> {
+        for daemon in &self.daemons {
+            while !daemon.is_ready().await {
+                if until.left() == 0 {
+                    return Err(format!("{} did not become ready", daemon.name));
+                }
+                pause(50).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all daemons.
+    pub fn end(&self) {
+        for daemon in &self.daemons {
+            if let Some(mut process) = daemon.process.take() {
+                process.kill();
+            }
+        }
+    }
+}
+
+impl Daemon {
+    /// Whether it answers 200 to the balancer.
+    pub async fn is_ready(&self) -> bool {
+        let wait = std::time::Duration::from_millis(500);
+        let asked = monoio::time::timeout(wait, self.ask_ready()).await;
+        matches!(asked, Ok(Ok(true)))
+    }
+
+    async fn ask_ready(&self) -> std::io::Result<bool> {
+        let stream = TcpStream::connect(&*self.ready).await?;
+        let mut link = Link::new(stream)?;
+        link.send(b"GET /hollyreach/ready HTTP/1.1\r\nhost: x\r\n\r\n")
+            .await?;
+        link.fill().await?;
+        Ok(link.input.starts_with(b"HTTP/1.1 200"))
+    }
+
+    /// Does something with the process, if it runs.
+    pub fn with(&self, act: impl FnOnce(&mut Process)) {
+        if let Some(process) = self.process.borrow_mut().as_mut() {
+            act(process);
+        }
+    }
+}
