--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -10,6 +10,7 @@
 use monoio::net::TcpStream;
 use quick_error::quick_error;
 
+use crate::tunnel::{self, Peer};
 use crate::{Command, Dialect, End, ErrorKind, Hello, Member, Part, Plan, Reply, WireError};
 
 /// Idle time after which the kernel probes a connection, in seconds.
@@ -68,7 +69,6 @@
         from: &str,
         within: u64,
     ) -> Result<Conn, Lost> {
-        let group = member.entry.borrow().group.clone();
         let opened = Ms::now();
         let connect = TcpStream::connect_addr(member.addr);
         let stream = monoio::time::timeout(Duration::from_millis(within), connect)
@@ -80,9 +80,36 @@
             Some(second),
             Some(2),
         )?;
+        Conn::greet(member, Link::new(stream)?, opened, dialect, from, within).await
+    }
+
+    /// Opens a connection through another daemon.
+    ///
+    /// # Errors
+    /// As `open`.
+    pub async fn open_through(
+        peers: &[Peer],
+        member: Rc<Member>,
+        dialect: Dialect,
+        from: &str,
+        within: u64,
+    ) -> Result<Conn, Lost> {
+        let opened = Ms::now();
+        let link = tunnel::open(peers, member.addr).await?;
+        Conn::greet(member, link, opened, dialect, from, within).await
+    }
+
+    async fn greet(
+        member: Rc<Member>,
+        link: Link,
+        opened: Ms,
+        dialect: Dialect,
+        from: &str,
+        within: u64,
+    ) -> Result<Conn, Lost> {
         member.open.set(member.open.get() + 1);
         let mut conn = Conn {
-            link: Link::new(stream).inspect_err(|_| member.open.set(member.open.get() - 1))?,
+            link,
             member,
             opened,
             idle_since: opened,
@@ -91,13 +118,14 @@
             plans: HashMap::new(),
             next_name: 0,
         };
-        let mut out = BytesMut::new();
+        let group = conn.member.entry.borrow().group.clone();
         let id = conn.member.id.clone();
         let hello = Hello {
             from,
             group: &group,
             member: &id,
         };
+        let mut out = BytesMut::new();
         (dialect.hello)(&hello, &mut out);
         let reply = conn.exchange(&out, within * 4).await?;
         match reply.end {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -10,7 +10,7 @@
 use crate::suspect::Sight;
 use crate::{
     Conn, Dialect, Entry, GroupRule, History, Lease, Lost, Member, Rank, Reply, Role, Settings,
-    Status, Word, predicted_wait,
+    Status, Word, predicted_wait, tunnel::Peers,
 };
 
 /// Time to open a connection, in ms.
@@ -57,6 +57,8 @@
     pub none_since: Cell<Ms>,
     /// Oldest write that waits for its answer.
     pub writes: RefCell<Vec<Ms>>,
+    /// Daemons through which a member may be reached.
+    peers: Rc<Peers>,
     /// Name of this VM.
     vm: Box<str>,
     /// Data centre of this VM.
@@ -93,7 +95,12 @@
 
 impl Group {
     /// An empty group.
-    pub fn new(rule: GroupRule, settings: &Settings, dialect: Dialect) -> Rc<Group> {
+    pub fn new(
+        rule: GroupRule,
+        settings: &Settings,
+        dialect: Dialect,
+        peers: &Rc<Peers>,
+    ) -> Rc<Group> {
         Rc::new_cyclic(|me| Group {
             name: rule.name.clone(),
             rule: RefCell::new(rule),
@@ -102,6 +109,7 @@
             changed: Signal::default(),
             none_since: Cell::new(Ms::now()),
             writes: RefCell::default(),
+            peers: peers.clone(),
             vm: settings.name.clone(),
             home: settings.data_center.clone(),
             dialect,
@@ -473,6 +481,9 @@
         };
         member.opening.set(true);
         let member = member.clone();
+        if member.down.get().is_some() || member.silent_for(Ms::now()) >= PROBE_MS {
+            monoio::spawn(group.clone().open_tunnel(member.clone()));
+        }
         monoio::spawn(async move {
             let result = Conn::open(member.clone(), group.dialect, &group.vm, CONNECT_MS).await;
             member.opening.set(false);
@@ -483,6 +494,25 @@
         });
     }
 
+    /// Tries to reach a silent member through another daemon.
+    async fn open_tunnel(self: Rc<Self>, member: Rc<Member>) {
+        if member.tunneling.replace(true) {
+            return;
+        }
+        let peers = self.peers.order(&member.entry.borrow().data_center);
+        let result =
+            Conn::open_through(&peers, member.clone(), self.dialect, &self.vm, CONNECT_MS).await;
+        member.tunneling.set(false);
+        // A failure says nothing new; the direct attempt judges the member.
+        if let Ok(conn) = result {
+            emit(
+                Event::TunnelOpened,
+                &[("group", &self.name), ("member", &member.id)],
+            );
+            self.opened(conn).await;
+        }
+    }
+
     async fn opened(&self, mut conn: Conn) {
         let member = conn.member.clone();
         if member.down.replace(None).is_some() {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod stats;
 mod suspect;
 mod transaction;
+pub mod tunnel;
 mod warden;
 
 pub use answer::{End, ErrorKind, Part, Reply, TxState};
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -59,6 +59,8 @@
     pub(crate) open: Cell<u64>,
     /// Whether a connection is being opened.
     pub(crate) opening: Cell<bool>,
+    /// Whether a connection through another daemon is being opened.
+    pub(crate) tunneling: Cell<bool>,
     /// Instant before which none is opened.
     pub(crate) retry_at: Cell<Ms>,
     /// Since when connections fail at the transport, if they do.
@@ -96,6 +98,7 @@
             idle: RefCell::default(),
             open: Cell::new(0),
             opening: Cell::new(false),
+            tunneling: Cell::new(false),
             retry_at: Cell::new(Ms(0)),
             down: Cell::new(None),
             refused: Cell::new(false),
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 
@@ -12,6 +13,7 @@
 
 use crate::exec::{Context, Work};
 use crate::stats::Labels;
+use crate::tunnel::Peers;
 use crate::{
     Config, Dialect, Entry, ErrorKind, Group, Outcome, Reply, Route, Stats, keeper, warden,
 };
@@ -71,6 +73,8 @@
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
     /// Time after which an idle transaction is ended, in ms.
     pub tx_idle: Cell<u64>,
+    /// The other daemons.
+    pub peers: Rc<Peers>,
     /// What is counted and measured.
     pub stats: Stats,
     /// Open sessions.
@@ -94,6 +98,7 @@
             routes: RefCell::default(),
             groups: RefCell::default(),
             tx_idle: Cell::new(u64::MAX),
+            peers: Rc::default(),
             stats: Stats::default(),
             sessions: Cell::new(0),
             closing: Cell::new(false),
@@ -134,7 +139,7 @@
             group.rule.replace(rule.clone());
             return;
         }
-        let group = Group::new(rule.clone(), &self.settings, self.dialect);
+        let group = Group::new(rule.clone(), &self.settings, self.dialect, &self.peers);
         self.groups
             .borrow_mut()
             .insert(rule.name.clone(), group.clone());
@@ -169,11 +174,11 @@
     }
 
     /// Whether callers are served well here: a configuration is in force, and the primaries of at
-    /// least half of the groups can be used, or will soon be.
+    /// least three quarters of the groups can be used, or will soon be.
     pub fn is_ready(&self) -> bool {
         let groups = self.groups.borrow();
         let usable = groups.values().filter(|g| !g.is_hopeless()).count();
-        self.version.get() > 0 && usable * 2 >= groups.len() && !self.is_isolated()
+        self.version.get() > 0 && usable * 4 >= groups.len() * 3 && !self.is_isolated()
     }
 
     /// Whether more than half of all members give no sign of life to this VM.
@@ -227,6 +232,13 @@
         );
     }
 
+    /// Whether an address is that of a listed member which this VM hears.
+    pub fn hears(&self, addr: SocketAddr) -> bool {
+        let groups = self.groups.borrow();
+        let mut members = groups.values().flat_map(|g| g.listed());
+        members.any(|m| m.addr == addr && m.heard_at.get().elapsed() <= HEARD_MS)
+    }
+
     /// Ends sessions at their next boundary.
     pub fn close(&self) {
         self.closing.set(true);
@@ -249,6 +261,9 @@
     }
 }
 
+/// Time since a member was heard after which no other daemon is passed on to it, in ms. Each member
+/// is asked more often than that.
+const HEARD_MS: u64 = 800;
 /// Period of looks for the first configuration, in ms.
 const CONFIG_LOOK_MS: u64 = 20;
 
--- a/crates/schema/src/load.rs
+++ b/crates/schema/src/load.rs
@@ -123,6 +123,9 @@
         address("ready", &self.ready, out);
         address("store", &self.store, out);
         address("orders", &self.orders, out);
+        if let Some(internal) = &self.internal {
+            address("internal", internal, out);
+        }
         if let Some(metrics) = &self.metrics {
             address("metrics", metrics, out);
         }
--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -51,11 +51,11 @@
         for n in 0..count {
             let name = format!("vm-{n}");
             let (store, orders) = world.open_for(&name);
-            let (listen, ready) = (free_addr()?, free_addr()?);
+            let (listen, ready, internal) = (free_addr()?, free_addr()?, free_addr()?);
             let settings = folder.join(format!("{seed}-{name}.yaml"));
             let text = format!(
                 "name: {name}\ndata_center: z{}\nlisten: {listen}\nready: {ready}\n\
-                 store: {store}\norders: {orders}\ngrace_ms: 4000\n",
+                 internal: {internal}\nstore: {store}\norders: {orders}\ngrace_ms: 4000\n",
                 n % 3
             );
             std::fs::write(&settings, text).map_err(|e| e.to_string())?;
