hollyreach explain: the story of a statement from the logs of several VMs

Cause: an on-call engineer had to search the logs of each VM by hand. Change: the statement's own lines, what its VM believed of the group in the 5 s before, and all changes of the group's primary, in order of time. The log's thread no longer holds the lock of standard output, which made every printing command wait for ever. Conclusion: tested on lines as the daemons write them.

--- a/crates/hollyreach/src/args.rs
+++ b/crates/hollyreach/src/args.rs
@@ -10,6 +10,8 @@
     Gateway { config: Box<str> },
     /// Check a settings file.
     Check { file: Box<str>, gateway: bool },
+    /// Tell the story of a statement.
+    Explain { id: Box<str>, files: Vec<String> },
     /// Salt a caller's password.
     Password { password: Box<str> },
     /// Show or change configuration.
@@ -153,6 +155,14 @@
         .to_options()
         .descr("Check a settings file; exit code 2 when it is refused")
         .command("check");
+    let id = place("ID", "identifier of the statement");
+    let files = positional::<String>("FILE")
+        .help("logs of the VMs; - reads standard input")
+        .some("expected logs, or - for standard input");
+    let explain = construct!(Command::Explain { id, files })
+        .to_options()
+        .descr("Put the story of a statement together from logs")
+        .command("explain");
     let password = place("PASSWORD", "password to salt");
     let password = construct!(Command::Password { password })
         .to_options()
@@ -171,10 +181,19 @@
         .to_options()
         .descr("Make a report")
         .command("report");
-    construct!([serve, on_platform, check, config, status, report, password])
-        .to_options()
-        .descr("A database proxy with session consistency")
-        .version(env!("CARGO_PKG_VERSION"))
+    construct!([
+        serve,
+        on_platform,
+        check,
+        config,
+        status,
+        report,
+        explain,
+        password
+    ])
+    .to_options()
+    .descr("A database proxy with session consistency")
+    .version(env!("CARGO_PKG_VERSION"))
 }
 
 /// Reads the command line; ends the process on `--help` and on errors.
--- a/crates/hollyreach/src/main.rs
+++ b/crates/hollyreach/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod config;
+mod explain;
 mod operator;
 mod sink;
 mod status;
@@ -65,6 +66,7 @@
             }
             Err(e) => refuse(&e),
         },
+        Command::Explain { id, files } => finish(explain::explain(&id, &files)),
         Command::Password { password } => {
             let salt: [u8; 16] = std::array::from_fn(|_| fastrand::u8(..));
             let (salt, hash) = pg::Verifier::salted(&password, &salt, 4096);
--- a/crates/hollyreach/src/sink.rs
+++ b/crates/hollyreach/src/sink.rs
@@ -59,7 +59,8 @@
 
 /// Writes lines until the logger is gone or nobody reads.
 fn copy(waiting: &Receiver<Box<[u8]>>, dropped: &AtomicU64) {
-    let mut out = io::stdout().lock();
+    // The lock is not held, so that commands can print while no line is being written.
+    let mut out = io::stdout();
     while let Ok(line) = waiting.recv() {
         let lost = dropped.swap(0, Ordering::Relaxed);
         let note = if lost > 0 {
--- /dev/null
+++ b/crates/hollyreach/tests/explain.rs
@@ -0,0 +1,38 @@
+//! The story of a statement, from lines as the daemons write them.
+
+use super::{Line, story};
+
+const LOG: &str = "\
+34.1 vm-a 1769817635190 WARN H721 member cannot be reached group=k member=i-f cause=\"no answer in time\"
+34.3 vm-b 1769817635369 WARN H740 change of primary begun group=k cause=silent primary=i-5 change=39
+34.3 vm-b 1769817635370 WARN H721 member cannot be reached group=k member=i-5 cause=\"no answer in time\"
+34.4 vm-a 1769817635421 WARN H730 lease on the primary has run out group=k member=i-5
+34.4 vm-a 1769817635422 WARN H730 lease on the primary has run out group=other member=i-9
+34.8 vm-a 1769817635852 WARN H712 outcome of a statement is unknown id=924e group=k cause=\"no answer in time\" lease_left=0
+34.8 vm-a 1769817635852 INFO H714 statement not served id=924e database=y outcome=InDoubt kind=InDoubt
+34.9 vm-a 1769817635900 INFO H710 statement served id=77aa database=y outcome=Served
+not a line of a log";
+
+fn numbers(id: &str) -> Vec<String> {
+    let lines: Vec<Line> = LOG.lines().filter_map(|l| Line::parse("file", l)).collect();
+    let told = story(&lines, id);
+    let number = |l: &Line| format!("{} {}", l.vm, l.text.split(' ').next().unwrap_or(""));
+    told.iter().map(number).collect()
+}
+
+#[test]
+fn a_story_holds_the_statement_its_beliefs_and_all_changes_of_its_group() {
+    let expect = [
+        "vm-a H721",
+        "vm-b H740",
+        "vm-a H730",
+        "vm-a H712",
+        "vm-a H714",
+    ];
+    assert_eq!(numbers("924e"), expect);
+}
+
+#[test]
+fn an_unknown_statement_has_no_story() {
+    assert!(numbers("0000").is_empty());
+}
--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -262,9 +262,11 @@
         if reset {
             commands.push(Command::Reset);
         }
-        let differs = |(name, text): &(&Box<str>, &Box<str>)| self.values.get(*name) != Some(text);
-        let sets = values.iter().filter(|value| reset || differs(value));
-        commands.extend(sets.map(|(_, text)| Command::Set { text }));
+        for (name, text) in values {
+            if reset || self.values.get(name) != Some(text) {
+                commands.push(Command::Set { text });
+            }
+        }
         if let Some((plan, name)) = plan
             && (reset || !self.plans.contains_key(plan))
         {
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -1,6 +1,6 @@
 //! Runs single statements: places them, tries again where that is harmless, and judges answers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use base::{Event, Ms, emit};
@@ -97,6 +97,8 @@
     pub until: Ms,
     /// The member that it was sent to last.
     pub member: RefCell<Box<str>>,
+    /// Time after its arrival at which it had that member's connection, in ms.
+    pub waited: Cell<u64>,
 }
 
 impl Context<'_> {
@@ -137,6 +139,7 @@
         let result = self.group.acquire(need, rank, avoid).await;
         if let Ok(conn) = &result {
             self.member.replace(conn.member.id.clone());
+            self.waited.set(work.arrival.elapsed());
         }
         result.map_err(|refusal| self.refuse(work, refusal, tries))
     }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,6 +1,6 @@
 //! One caller's session, from its greeting to its end.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -322,6 +322,7 @@
             own: self.own,
             until: arrival.plus(route.timeout),
             member: RefCell::default(),
+            waited: Cell::new(0),
         };
         let reply = tx.commit(&cx, &work, &self.values).await;
         proxy.note(&cx, &work, &reply);
@@ -339,6 +340,7 @@
             own: self.own,
             until: work.arrival.plus(route.timeout),
             member: RefCell::default(),
+            waited: Cell::new(0),
         };
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &work, &self.values).await,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -210,6 +210,7 @@
         };
         self.stats.statements.get_or_create(&labels).inc();
         self.stats.latency.observe(millis(took));
+        self.stats.wait.observe(millis(cx.waited.get()));
         emit(
             if outcome == Outcome::Served {
                 Event::Served
@@ -227,6 +228,7 @@
                 ("member", &cx.member.borrow()),
                 ("pos", &reply.pos.unwrap_or(Pos::ZERO)),
                 ("config", &self.version.get()),
+                ("waited_ms", &cx.waited.get()),
                 ("took_ms", &took),
             ],
         );
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -140,7 +140,9 @@
         }
         let slow = self.slow.take();
         if safety {
-            slow.iter().for_each(|text| println!("not judged: {text}"));
+            for text in &slow {
+                println!("not judged: {text}");
+            }
         } else {
             self.faults.borrow_mut().extend(slow);
         }
