--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -55,6 +55,10 @@
     pub changed: Signal,
     /// Since when no primary is known.
     pub none_since: Cell<Ms>,
+    /// Whether this daemon is one of those that serve the group.
+    pub homed: Cell<bool>,
+    /// Sessions that are served here.
+    pub sessions: Cell<u64>,
     /// Oldest write that waits for its answer.
     pub writes: RefCell<Vec<Ms>>,
     /// Daemons through which a member may be reached.
@@ -108,6 +112,8 @@
             history: RefCell::default(),
             changed: Signal::default(),
             none_since: Cell::new(Ms::now()),
+            homed: Cell::new(false),
+            sessions: Cell::new(0),
             writes: RefCell::default(),
             peers: peers.clone(),
             vm: settings.name.clone(),
@@ -136,8 +142,7 @@
             (_, Some(entry)) => {
                 self.supersede(entry);
                 let member = Rc::new(Member::new(entry.clone()));
-                self.members.borrow_mut().push(member.clone());
-                self.ensure(&member);
+                self.members.borrow_mut().push(member);
             }
             (Some(member), None) => {
                 member.gone.set(true);
@@ -623,6 +628,13 @@
         members.iter().filter(may_hold).cloned().collect()
     }
 
+    /// Closes all idle connections, while other daemons serve the group.
+    pub fn release_idle(&self) {
+        for member in self.members.borrow().iter() {
+            member.idle.borrow_mut().clear();
+        }
+    }
+
     /// Closes connections that have been idle for long, beyond those kept.
     pub fn trim(&self) {
         for member in self.members.borrow().iter() {
@@ -669,6 +681,11 @@
         (listed.len(), silent.count())
     }
 
+    /// Whether this daemon serves the group, by choice or since sessions were handed to it.
+    pub fn is_served(&self) -> bool {
+        self.homed.get() || self.sessions.get() > 0
+    }
+
     /// Whether the primary cannot be used and nothing says that it soon can.
     pub fn is_hopeless(&self) -> bool {
         let now = Ms::now();
--- a/crates/proxy/src/keeper.rs
+++ b/crates/proxy/src/keeper.rs
@@ -23,6 +23,10 @@
     loop {
         pause(ROUND_MS).await;
         group.trim();
+        if !group.is_served() {
+            group.release_idle();
+            continue;
+        }
         for member in group.listed() {
             group.ensure(&member);
         }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -14,6 +14,7 @@
 use crate::transaction::Transaction;
 use crate::{
     Dialect, End, ErrorKind, Plan, Proxy, Reply, Request, Statement, TxState, Verb, WireError,
+    tunnel,
 };
 
 /// Time a caller has for its greeting, in ms.
@@ -25,6 +26,8 @@
 pub type Values = BTreeMap<Box<str>, Box<str>>;
 
 struct Session {
+    /// The VM that has handed it over, if one has.
+    origin: Option<Box<str>>,
     database: Box<str>,
     values: Values,
     /// Prepared statements by the caller's names.
@@ -43,25 +46,81 @@
     Request(Request),
     /// Bytes that are no message; nothing after them can be understood.
     Broken(WireError),
+    /// A transaction has rested for too long.
     Idle,
+    /// Something changed that concerns all sessions.
+    Look,
     End,
 }
 
-/// Serves one caller until it leaves or the daemon stops.
-pub async fn serve(proxy: Rc<Proxy>, mut link: Link) {
+/// Serves one caller until it leaves or the daemon stops, here or at a daemon of its group.
+pub async fn serve(proxy: Rc<Proxy>, link: Link) {
+    serve_handed(proxy, link, None).await;
+}
+
+/// As `serve`, for a session that the VM `origin` has handed over.
+pub async fn serve_handed(proxy: Rc<Proxy>, mut link: Link, origin: Option<Box<str>>) {
     proxy.sessions.set(proxy.sessions.get() + 1);
-    if let Some(mut session) = greet(&proxy, &mut link).await {
-        session.run(&proxy, &mut link).await;
+    let handed = if origin.is_none() {
+        hand_over(&proxy, link).await
+    } else {
+        Err(link)
+    };
+    if let Err(back) = handed {
+        link = back;
+        serve_here(&proxy, &mut link, origin).await;
+    }
+    proxy.sessions.set(proxy.sessions.get() - 1);
+}
+
+/// Hands a session to a daemon that serves its group; gives it back when that is this one.
+async fn hand_over(proxy: &Rc<Proxy>, mut link: Link) -> Result<(), Link> {
+    let wait = Duration::from_millis(GREETING_MS);
+    let first = monoio::time::timeout(wait, async {
+        // The greeting is only looked at here; whoever serves the session reads it again.
+        loop {
+            let mut look = link.input.clone();
+            match (proxy.dialect.request)(&mut look) {
+                Ok(None) => {}
+                other => return other.ok().flatten(),
+            }
+            if !matches!(link.fill().await, Ok(n) if n > 0) {
+                return None;
+            }
+        }
+    });
+    let Ok(Some(Request::Hello { database })) = first.await else {
+        return Err(link);
+    };
+    proxy.configured(Ms::now().plus(CONFIG_MS)).await;
+    let Some((_, group)) = proxy.route(&database) else {
+        return Err(link);
+    };
+    let Some(homes) = proxy.homes(&group) else {
+        return Err(link);
+    };
+    tunnel::hand_over(&homes, link, &proxy.settings.name).await
+}
+
+async fn serve_here(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) {
+    if let Some(mut session) = greet(proxy, link, origin).await {
+        let served = proxy.route(&session.database).map(|(_, group)| group);
+        if let Some(group) = &served {
+            group.sessions.set(group.sessions.get() + 1);
+        }
+        session.run(proxy, link).await;
+        if let Some(group) = &served {
+            group.sessions.set(group.sessions.get() - 1);
+        }
         if let Some(tx) = session.tx.take()
             && let Some((_, group)) = proxy.route(&session.database)
         {
             tx.roll_back(&group, None).await;
         }
     }
-    proxy.sessions.set(proxy.sessions.get() - 1);
 }
 
-async fn greet(proxy: &Rc<Proxy>, link: &mut Link) -> Option<Session> {
+async fn greet(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) -> Option<Session> {
     let wait = Duration::from_millis(GREETING_MS);
     let first = monoio::time::timeout(wait, next(proxy.dialect, link));
     let Ok(Next::Request(Request::Hello { database })) = first.await else {
@@ -83,6 +142,7 @@
         return refuse(proxy, link, ErrorKind::NoDatabase, &database).await;
     }
     let session = Session {
+        origin,
         database,
         values: Values::new(),
         plans: BTreeMap::new(),
@@ -132,10 +192,14 @@
 }
 
 impl Session {
+    fn is_closing(&self, proxy: &Proxy) -> bool {
+        proxy.is_closing(self.origin.as_deref())
+    }
+
     async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut Link) {
         let mut out = BytesMut::new();
         loop {
-            if proxy.closing.get() && self.state == TxState::Idle && link.input.is_empty() {
+            if self.is_closing(proxy) && self.state == TxState::Idle && link.input.is_empty() {
                 return;
             }
             link.shrink();
@@ -149,6 +213,7 @@
                     self.break_off(proxy, link, e).await;
                     return;
                 }
+                Next::Look => continue,
                 Next::End => return,
             };
             let reply = match request {
@@ -189,7 +254,7 @@
     /// Waits for the next message, for the end of an idle transaction, or for the daemon to stop.
     async fn wait(&self, proxy: &Rc<Proxy>, link: &mut Link) -> Next {
         let seen = proxy.stop.count();
-        if proxy.closing.get() && self.state == TxState::Idle {
+        if self.is_closing(proxy) && self.state == TxState::Idle {
             return next(proxy.dialect, link).await;
         }
         let idle = if self.tx.is_some() {
@@ -202,14 +267,15 @@
             request = next(proxy.dialect, link) => request,
             () = monoio::time::sleep(idle) => Next::Idle,
             () = proxy.stop.wait_past(seen) => {
-                if self.state == TxState::Idle && link.input.is_empty() { Next::End } else { Next::Idle }
+                let ends = self.is_closing(proxy) && self.state == TxState::Idle;
+                if ends && link.input.is_empty() { Next::End } else { Next::Look }
             }
         }
     }
 
     /// Ends a transaction that rests for too long; the caller learns it with its next statement.
     async fn end_idle(&mut self, proxy: &Rc<Proxy>) {
-        if proxy.closing.get() {
+        if self.is_closing(proxy) {
             return;
         }
         let Some(tx) = self.tx.take() else { return };
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -13,9 +13,10 @@
 
 use crate::exec::{Context, Work};
 use crate::stats::Labels;
-use crate::tunnel::Peers;
+use crate::tunnel::{self, Peer, Peers};
 use crate::{
-    Config, Dialect, Entry, ErrorKind, Group, Outcome, Reply, Route, Stats, keeper, warden,
+    Candidate, Config, Dialect, Entry, ErrorKind, Group, Outcome, Reply, Route, Stats, homes,
+    keeper, warden,
 };
 
 /// A number that grows whenever the right to order changes of primary passes on.
@@ -81,6 +82,8 @@
     pub sessions: Cell<u64>,
     /// Whether sessions end at their next boundary.
     pub closing: Cell<bool>,
+    /// VMs that said that they stop, and when.
+    stopped: RefCell<HashMap<Box<str>, Ms>>,
     /// Notified when `closing` is set.
     pub stop: Signal,
     /// Entries of groups that no configuration names yet.
@@ -102,6 +105,7 @@
             stats: Stats::default(),
             sessions: Cell::new(0),
             closing: Cell::new(false),
+            stopped: RefCell::default(),
             stop: Signal::default(),
             early: RefCell::default(),
         })
@@ -129,6 +133,7 @@
             ],
         );
         self.routes.replace(routes);
+        self.assign();
         self.tx_idle.set(config.tx_idle);
         self.version.set(config.version);
     }
@@ -177,8 +182,10 @@
     /// least three quarters of the groups can be used, or will soon be.
     pub fn is_ready(&self) -> bool {
         let groups = self.groups.borrow();
-        let usable = groups.values().filter(|g| !g.is_hopeless()).count();
-        self.version.get() > 0 && usable * 4 >= groups.len() * 3 && !self.is_isolated()
+        let served: Vec<_> = groups.values().filter(|g| g.is_served()).collect();
+        let usable = served.iter().filter(|g| !g.is_hopeless()).count();
+        let known = self.version.get() > 0 && self.peers.is_known();
+        known && usable * 4 >= served.len() * 3 && !self.is_isolated()
     }
 
     /// Whether more than half of all members give no sign of life to this VM.
@@ -190,7 +197,10 @@
     /// Members of all groups, and how many of them give no sign of life to this VM.
     pub fn silence(&self) -> (usize, usize) {
         let groups = self.groups.borrow();
-        let sums = groups.values().map(|g| g.silence());
+        let sums = groups
+            .values()
+            .filter(|g| g.is_served())
+            .map(|g| g.silence());
         sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
     }
 
@@ -241,10 +251,66 @@
         members.any(|m| m.addr == addr && m.heard_at.get().elapsed() <= HEARD_MS)
     }
 
-    /// Ends sessions at their next boundary.
+    /// Ends sessions at their next boundary, here and where they were handed to.
     pub fn close(&self) {
         self.closing.set(true);
         self.stop.notify();
+        let stop = tunnel::announce_stop(self.peers.all(), self.settings.name.clone());
+        monoio::spawn(stop);
+    }
+
+    /// Ends the sessions that a VM has handed over, at their next boundary.
+    pub(crate) fn stop_from(&self, vm: &str) {
+        self.stopped.borrow_mut().insert(vm.into(), Ms::now());
+        self.stop.notify();
+    }
+
+    /// Whether a session that came this way ends at its next boundary.
+    pub(crate) fn is_closing(&self, origin: Option<&str>) -> bool {
+        let stopped = self.stopped.borrow();
+        let recent = |vm| {
+            stopped
+                .get(vm)
+                .is_some_and(|at: &Ms| at.elapsed() <= STOP_MS)
+        };
+        self.closing.get() || origin.is_some_and(recent)
+    }
+
+    /// The other daemons that serve a group, nearest first; `None` when this one does.
+    pub fn homes(&self, group: &Group) -> Option<Vec<Peer>> {
+        let peers = self.peers.all();
+        let own = Candidate {
+            name: &self.settings.name,
+            data_center: &self.settings.data_center,
+        };
+        let others = peers.iter().map(|p| Candidate {
+            name: &p.name,
+            data_center: &p.data_center,
+        });
+        let fleet: Vec<Candidate> = others.chain([own.clone()]).collect();
+        let conns = group.rule.borrow().conns;
+        let chosen = homes(&group.name, conns, &fleet)?;
+        if chosen.contains(&own) {
+            return None;
+        }
+        let mut homes: Vec<Peer> = peers
+            .iter()
+            .filter(|p| chosen.iter().any(|c| *c.name == *p.name))
+            .cloned()
+            .collect();
+        fastrand::shuffle(&mut homes);
+        homes.sort_by_key(|p| p.data_center != self.settings.data_center);
+        Some(homes)
+    }
+
+    /// Notes which groups this daemon serves.
+    pub fn assign(&self) {
+        if !self.peers.is_known() {
+            return;
+        }
+        for group in self.groups.borrow().values() {
+            group.homed.set(self.homes(group).is_none());
+        }
     }
 
     /// The rule for a database, and its group.
@@ -263,6 +329,8 @@
     }
 }
 
+/// Time for which the word of a VM that stops counts, in ms; longer than any grace.
+const STOP_MS: u64 = 8000;
 /// Time since a member was heard after which no other daemon is passed on to it, in ms. Each member
 /// is asked more often than that.
 const HEARD_MS: u64 = 800;
--- a/crates/proxy/src/warden.rs
+++ b/crates/proxy/src/warden.rs
@@ -35,6 +35,9 @@
     loop {
         let before = Ms::now();
         pause(LOOK_MS).await;
+        if !group.is_served() {
+            continue;
+        }
         if before.elapsed() >= STALL_MS {
             group.forget_silence();
             continue;
