Hand sessions only to daemons that know the configuration in force here

Ruled out: a late watch at the daemon that took the session (version 6 in force at 2.82, its log). Change: the version in force travels with the session; a daemon with an older one refuses it.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -99,7 +99,8 @@
     let Some(homes) = proxy.homes(&group) else {
         return Err(link);
     };
-    tunnel::hand_over(&homes, link, &proxy.settings.name).await
+    let version = proxy.version.get();
+    tunnel::hand_over(&homes, link, version, &proxy.settings.name).await
 }
 
 async fn serve_here(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) {
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -25,7 +25,8 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Daemons that are tried for one tunnel.
 const TRIES: usize = 6;
-/// Begins the target of a session that is handed over; the VM that hands it over follows.
+/// Begins the target of a session that is handed over; the configuration version in force and the
+/// name of the VM that hands it over follow.
 const SESSION: &str = "session.";
 /// Begins the target by which a VM says that it stops.
 const STOP: &str = "stop.";
@@ -122,8 +123,13 @@
 ///
 /// # Errors
 /// Gives the caller's connection back when none takes it.
-pub async fn hand_over(peers: &[Peer], mut caller: Link, vm: &str) -> Result<(), Link> {
-    let target = format!("{SESSION}{vm}");
+pub async fn hand_over(
+    peers: &[Peer],
+    mut caller: Link,
+    version: u64,
+    vm: &str,
+) -> Result<(), Link> {
+    let target = format!("{SESSION}{version}.{vm}");
     for peer in peers {
         let Ok(mut home) = within(through(peer.addr, &target)).await else {
             continue;
@@ -194,9 +200,17 @@
         proxy.stop_from(vm);
         return write(&mut stream, TAKEN).await;
     }
-    let Some(vm) = target.strip_prefix(SESSION) else {
+    let Some(handed) = target.strip_prefix(SESSION) else {
         return pass_to_member(proxy, stream, target).await;
     };
+    let (version, vm) = handed.split_once('.').unwrap_or(("", ""));
+    // A daemon that has not heard of the newest configuration would serve by an older one.
+    if version
+        .parse()
+        .is_ok_and(|version: u64| version > proxy.version.get())
+    {
+        return write(&mut stream, REFUSED).await;
+    }
     write(&mut stream, TAKEN).await?;
     let origin = Some(Box::from(vm));
     session::serve_handed(proxy.clone(), Link::new(stream)?, origin).await;
