Pass the configuration on to daemons that serve sessions of this one

Cause: in fleets above 12 daemons a session is handed to a home of its group. The version is compared when it is handed over, and never again: a home that is cut off from the store afterwards serves the callers of a daemon in touch by an older configuration.

Ruled out: asking at each statement (a message more for each); a push to every daemon (58 x 57 connections for each change, while most have heard by themselves); handing sessions back when the home is cut off (the home does not know it while its store is silent).

Change: a daemon counts its sessions by home. Versions never fall.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -117,7 +117,7 @@
             return Ok(Need::Primary(arrival));
         }
         let history = self.group.history.borrow();
-        read_need(self.route.freshness, arrival, self.own, &history).ok_or_else(|| {
+        read_need(self.route, arrival, self.own, &history).ok_or_else(|| {
             Reply::error(ErrorKind::Behind, "no position is known to be fresh enough")
         })
     }
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -1,10 +1,10 @@
 //! Where a statement may run.
 
 use base::Ms;
-use schema::Pos;
+use schema::{Freshness, Pos, Route};
 
 use crate::member::Key;
-use crate::{Freshness, History, Member, Role};
+use crate::{History, Member, Role};
 
 /// Time for which a replica that lacked a position is not asked for a newer one, in ms.
 const BEHIND_MS: u64 = 15;
@@ -25,12 +25,12 @@
 }
 
 /// What a read needs, or `None` when no known position is fresh enough.
-pub fn read_need(freshness: Freshness, arrival: Ms, own: Pos, history: &History) -> Option<Need> {
-    let floor = |age: u64| history.floor(Ms(arrival.0.saturating_sub(age)));
-    match freshness {
+pub fn read_need(route: &Route, arrival: Ms, own: Pos, history: &History) -> Option<Need> {
+    let floor = || history.floor(Ms(arrival.0.saturating_sub(route.max_age)));
+    match route.freshness {
         Freshness::Newest => Some(Need::Primary(arrival)),
-        Freshness::OwnWrites { max_age } => Some(Need::Holds(floor(max_age)?.max(own))),
-        Freshness::Aged { max_age } => Some(Need::Holds(floor(max_age)?)),
+        Freshness::OwnWrites => Some(Need::Holds(floor()?.max(own))),
+        Freshness::Aged => Some(Need::Holds(floor()?)),
     }
 }
 
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -99,8 +99,7 @@
     let Some(homes) = proxy.homes(&group) else {
         return Err(link);
     };
-    let version = proxy.version.get();
-    tunnel::hand_over(&homes, link, version, &proxy.settings.name).await
+    tunnel::hand_over(proxy, &homes, link).await
 }
 
 async fn serve_here(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,7 +16,7 @@
 use crate::tunnel::{self, Peer, Peers};
 use crate::{
     Candidate, Config, Dialect, Entry, ErrorKind, Group, Outcome, Reply, Route, Stats, homes,
-    keeper, warden,
+    keeper, relay, warden,
 };
 
 /// A number that grows whenever the right to order changes of primary passes on.
@@ -119,6 +119,7 @@
         for rule in &config.groups {
             self.add_group(rule);
         }
+        relay::spread(self, &config);
         let routes: HashMap<_, _> = config
             .routes
             .into_iter()
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -5,6 +5,7 @@
 //! large fleet, a caller's whole session is handed to a daemon that serves its group.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +16,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable, copy};
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::{Proxy, session};
+use crate::{Proxy, relay, session};
 
 /// Time to open one leg of a tunnel, in ms.
 const LEG_MS: u64 = 250;
@@ -28,6 +29,11 @@
 /// Begins the target of a session that is handed over; the configuration version in force and the
 /// name of the VM that hands it over follow.
 const SESSION: &str = "session.";
+/// Begins the target by which a configuration is offered; its version follows. Whoever takes it is
+/// sent its bytes.
+const CONFIG: &str = "config.";
+/// Longest configuration, in bytes.
+const CONFIG_MAX: usize = 8 << 20;
 /// Begins the target by which a VM says that it stops.
 const STOP: &str = "stop.";
 /// Answer to what is taken.
@@ -54,6 +60,8 @@
     list: RefCell<Vec<Peer>>,
     /// Whether the list was read at least once.
     known: Cell<bool>,
+    /// Sessions of this daemon that others serve, by their address; never 0.
+    handed: RefCell<HashMap<SocketAddr, usize>>,
 }
 
 impl Peers {
@@ -73,6 +81,29 @@
         self.list.borrow().clone()
     }
 
+    /// Daemons that serve sessions of this one.
+    pub fn serving(&self) -> Vec<Peer> {
+        let handed = self.handed.borrow();
+        let peers = self.list.borrow();
+        let serving = peers.iter().filter(|p| handed.contains_key(&p.addr));
+        serving.cloned().collect()
+    }
+
+    fn add_handed(&self, addr: SocketAddr) {
+        *self.handed.borrow_mut().entry(addr).or_default() += 1;
+    }
+
+    fn drop_handed(&self, addr: SocketAddr) {
+        let mut handed = self.handed.borrow_mut();
+        let Some(count) = handed.get_mut(&addr) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            handed.remove(&addr);
+        }
+    }
+
     /// Daemons to try for a member of a data centre: those beside it first.
     pub fn order(&self, data_center: &str) -> Vec<Peer> {
         let mut peers = self.list.borrow().clone();
@@ -123,24 +154,39 @@
 ///
 /// # Errors
 /// Gives the caller's connection back when none takes it.
-pub async fn hand_over(
-    peers: &[Peer],
-    mut caller: Link,
-    version: u64,
-    vm: &str,
-) -> Result<(), Link> {
-    let target = format!("{SESSION}{version}.{vm}");
+pub async fn hand_over(proxy: &Proxy, peers: &[Peer], mut caller: Link) -> Result<(), Link> {
     for peer in peers {
-        let Ok(mut home) = within(through(peer.addr, &target)).await else {
-            continue;
-        };
-        // Nobody but the two ends is told of an error between them: both connections close.
-        let _ = pump(&mut caller, &mut home).await;
-        return Ok(());
+        let target = format!("{SESSION}{}.{}", proxy.version.get(), proxy.settings.name);
+        // Counted before the attempt, so that no configuration is missed in between.
+        proxy.peers.add_handed(peer.addr);
+        let home = within(through(peer.addr, &target)).await;
+        let taken = home.is_ok();
+        if let Ok(mut home) = home {
+            // Nobody but the two ends is told of an error between them: both connections close.
+            let _ = pump(&mut caller, &mut home).await;
+        }
+        proxy.peers.drop_handed(peer.addr);
+        if taken {
+            return Ok(());
+        }
     }
     Err(caller)
 }
 
+/// Offers a configuration to a daemon, which takes it if it knows only older ones.
+pub(crate) async fn offer_config(peer: &Peer, version: u64, bytes: &[u8]) -> io::Result<()> {
+    let mut link = match within(through(peer.addr, &format!("{CONFIG}{version}"))).await {
+        Ok(link) => link,
+        Err(e) if e.kind() == io::ErrorKind::HostUnreachable => return Ok(()),
+        Err(e) => return Err(e),
+    };
+    within(async {
+        link.send(bytes).await?;
+        link.shut_down().await
+    })
+    .await
+}
+
 /// Copies both ways until one side ends.
 async fn pump(caller: &mut Link, home: &mut Link) -> io::Result<()> {
     loop {
@@ -200,6 +246,9 @@
         proxy.stop_from(vm);
         return write(&mut stream, TAKEN).await;
     }
+    if let Some(version) = target.strip_prefix(CONFIG) {
+        return take_config(proxy, stream, version).await;
+    }
     let Some(handed) = target.strip_prefix(SESSION) else {
         return pass_to_member(proxy, stream, target).await;
     };
@@ -217,6 +266,21 @@
     Ok(())
 }
 
+async fn take_config(proxy: &Rc<Proxy>, mut stream: TcpStream, version: &str) -> io::Result<()> {
+    let newer = version.parse().is_ok_and(|v: u64| v > proxy.version.get());
+    if !newer {
+        return write(&mut stream, REFUSED).await;
+    }
+    write(&mut stream, TAKEN).await?;
+    let mut link = Link::new(stream)?;
+    while within(link.fill()).await? > 0 {
+        if link.input.len() > CONFIG_MAX {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+    }
+    relay::take(proxy, &link.input).map_err(io::Error::other)
+}
+
 async fn write(stream: &mut TcpStream, head: &'static [u8]) -> io::Result<()> {
     let (result, _) = stream.write_all(head).await;
     result.map(|_| ())
