Soak: look for cut statements and configurations that fall back

Cause: the soak judged what callers were told and what members kept. A daemon that cuts a statement when it is stopped, or that goes back to an older configuration, was not seen by it.

Ruled out: judging a cut by its lateness (depends on the machine's load). A cut counts if a member was sent the statement and the daemon's process was neither killed nor frozen since its start; above 12 daemons, where another process may hold the session, it is not judged.

Change: the stand-ins keep the identifiers that members were sent; each configuration has a database that no other version has, so that a session for it tells the version in force.

--- a/crates/world/src/group.rs
+++ b/crates/world/src/group.rs
@@ -88,6 +88,8 @@
     pub primary: Cell<usize>,
     /// Notified when logs grow.
     pub grown: Signal,
+    /// Identifiers of statements that members were sent.
+    pub heard: RefCell<HashSet<Box<str>>>,
     promote_ms: u64,
     /// Number of the promotion under way; a later one replaces it.
     pending: Cell<u64>,
@@ -133,6 +135,7 @@
             term: Cell::new(1),
             primary: Cell::new(0),
             grown: Signal::default(),
+            heard: RefCell::default(),
             promote_ms,
             pending: Cell::new(0),
             store: store.clone(),
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -58,7 +58,13 @@
         world
     }
 
-    /// Writes the next configuration, with some routes that nobody uses.
+    /// Version of the newest configuration.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Writes the next configuration, with some routes that nobody uses, and one named after the
+    /// version, which no other configuration has.
     pub fn configure(&self, more: usize) {
         self.version.set(self.version.get() + 1);
         let mut routes = Vec::new();
@@ -76,13 +82,10 @@
                 ));
             }
         }
-        for n in 0..more {
-            routes.push(route(
-                &format!("more-{n}"),
-                &self.groups[0].name,
-                "primary",
-                0,
-            ));
+        let version = format!("v{}", self.version.get());
+        let more = (0..more).map(|n| format!("more-{n}"));
+        for database in more.chain([version]) {
+            routes.push(route(&database, &self.groups[0].name, "primary", 0));
         }
         let services: Vec<Value> = self
             .groups
--- a/crates/world/src/member.rs
+++ b/crates/world/src/member.rs
@@ -295,6 +295,7 @@
     }
 
     async fn read(&mut self, id: &str, item: &str, after: Option<Pos>) -> Option<String> {
+        self.group.heard.borrow_mut().insert(id.into());
         if self.tx.is_some() && !self.read_only && !self.member.leads.get() {
             return Some(self.error("READONLY"));
         }
@@ -318,6 +319,7 @@
     }
 
     async fn write(&mut self, id: &str, item: &str, data: &str) -> Option<String> {
+        self.group.heard.borrow_mut().insert(id.into());
         if !self.member.leads.get() || self.read_only && self.tx.is_some() {
             return Some(self.error("READONLY"));
         }
@@ -337,6 +339,7 @@
     }
 
     async fn commit(&mut self, id: &str) -> Option<String> {
+        self.group.heard.borrow_mut().insert(id.into());
         let writes = self.tx.take().unwrap_or_default();
         if !writes.is_empty() {
             if !self.member.leads.get() {
--- a/xtask/src/soak/client.rs
+++ b/xtask/src/soak/client.rs
@@ -6,6 +6,7 @@
 use base::Ms;
 use link::Link;
 use monoio::net::TcpStream;
+use world::World;
 
 use super::fleet::Fleet;
 use super::ledger::{Ledger, Told};
@@ -17,6 +18,8 @@
 const CONNECT_S: u64 = 2;
 /// Age that reads of the aged route accept, in ms.
 const AGE_MS: u64 = 1500;
+/// Most daemons among which no session is handed over.
+const UNHANDED: usize = 12;
 /// Errors that promise that nothing is kept.
 const PROMISES: [&str; 6] = [
     "BUSY",
@@ -31,6 +34,7 @@
 pub struct Client {
     number: usize,
     rng: fastrand::Rng,
+    world: Rc<World>,
     fleet: Rc<Fleet>,
     ledger: Rc<Ledger>,
     /// Grows when the outcome of a write is unknown, so that a late run of it deceives no check.
@@ -49,6 +53,9 @@
 struct Session {
     link: Link,
     group: usize,
+    /// Index of the daemon, and the start of its process that the session belongs to.
+    daemon: usize,
+    boot: u64,
     /// Newest own counter that was acknowledged in this session.
     own: u64,
 }
@@ -62,8 +69,15 @@
 
 impl Client {
     /// A caller with choices of its own.
-    pub fn new(number: usize, seed: u64, fleet: &Rc<Fleet>, ledger: &Rc<Ledger>) -> Client {
+    pub fn new(
+        number: usize,
+        seed: u64,
+        world: &Rc<World>,
+        fleet: &Rc<Fleet>,
+        ledger: &Rc<Ledger>,
+    ) -> Client {
         Client {
+            world: world.clone(),
             number,
             rng: fastrand::Rng::with_seed(seed * 1000 + number as u64),
             fleet: fleet.clone(),
@@ -83,6 +97,9 @@
         while !self.ledger.stop.get() {
             let route = *self.rng.choice(&["newest", "own", "aged"]).expect("some");
             let group = self.rng.usize(..GROUPS);
+            if self.rng.u8(..8) == 0 {
+                self.look_at_version().await;
+            }
             let Some(mut session) = self.connect(group, route).await else {
                 pause(100).await;
                 continue;
@@ -101,22 +118,62 @@
     }
 
     async fn connect(&mut self, group: usize, route: &str) -> Option<Session> {
-        let n = self.rng.usize(..self.fleet.daemons.len());
-        let daemon = &self.fleet.daemons[n];
+        let daemon = self.rng.usize(..self.fleet.daemons.len());
+        let boot = self.fleet.daemons[daemon].boot.get();
+        Some(Session {
+            link: self.open(daemon, &format!("g{group}-{route}")).await?,
+            group,
+            daemon,
+            boot,
+            own: 0,
+        })
+    }
+
+    /// Opens a session for a database at a daemon; `None` when it is not taken.
+    async fn open(&self, daemon: usize, database: &str) -> Option<Link> {
+        let daemon = &self.fleet.daemons[daemon];
         let open = async {
             let stream = TcpStream::connect(&*daemon.listen).await.ok()?;
             let mut link = Link::new(stream).ok()?;
-            let hello = format!("CONNECT g{group}-{route} c{}\r\n", self.number);
+            let hello = format!("CONNECT {database} c{}\r\n", self.number);
             link.send(hello.as_bytes()).await.ok()?;
             let first = line(&mut link).await?;
             first.starts_with("READY I").then_some(link)
         };
         let link = monoio::time::timeout(Duration::from_secs(CONNECT_S), open).await;
-        Some(Session {
-            link: link.ok()??,
-            group,
-            own: 0,
-        })
+        link.ok()?
+    }
+
+    /// Looks whether a daemon has gone back to an older configuration: each version has a database
+    /// that no other version has.
+    async fn look_at_version(&mut self) {
+        let n = self.rng.usize(..self.fleet.daemons.len());
+        let daemon = &self.fleet.daemons[n];
+        let (boot, before) = (daemon.boot.get(), daemon.version.get());
+        let newest = self.world.version();
+        let version = self.rng.u64(newest.saturating_sub(2).max(1)..=newest);
+        let served = self.open(n, &format!("v{version}")).await.is_some();
+        if !served || daemon.boot.get() != boot {
+            return;
+        }
+        if version < before {
+            let text = format!("CONFIG: {} fell from {before} to {version}", daemon.name);
+            self.ledger.fault(text);
+        }
+        daemon.version.set(daemon.version.get().max(version));
+    }
+
+    /// Notes a statement that a member was sent and that ended without an answer, though the
+    /// daemon's process was neither killed nor frozen.
+    fn check_cut(&self, session: &Session, id: &str) {
+        let daemon = &self.fleet.daemons[session.daemon];
+        let sound = daemon.boot.get() == session.boot && !daemon.hurt.get();
+        let handed = self.fleet.daemons.len() > UNHANDED;
+        let heard = &self.world.groups[session.group].heard;
+        if sound && !handed && !self.ledger.stop.get() && heard.borrow().contains(id) {
+            let text = format!("CUT: {id} at {} was sent to a member", daemon.name);
+            self.ledger.fault(text);
+        }
     }
 
     /// Runs one operation; false when the session is of no further use.
@@ -287,7 +344,11 @@
         let answer = monoio::time::timeout(Duration::from_millis(ANSWER_MS), exchange).await;
         match answer {
             Ok(Some(answer)) => Ok((id, answer)),
-            _ => Err(Ended::Cut),
+            Ok(None) => {
+                self.check_cut(session, &id);
+                Err(Ended::Cut)
+            }
+            Err(_) => Err(Ended::Cut),
         }
     }
 }
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -117,9 +117,9 @@
     monoio::spawn(async move {
         let daemon = &fleet.daemons[n];
         match kind {
-            0 => daemon.with(crate::cluster::Process::kill),
+            0 => daemon.hurt(crate::cluster::Process::kill),
             1 => {
-                daemon.with(|p| p.freeze());
+                daemon.hurt(|p| p.freeze());
                 pause(length).await;
                 daemon.with(|p| p.thaw());
                 return;
--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -1,6 +1,6 @@
 //! The daemons of a soak, as processes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -22,6 +22,12 @@
     ready: String,
     settings: String,
     process: RefCell<Option<Process>>,
+    /// Grows with each start of the process.
+    pub boot: Cell<u64>,
+    /// Whether the process was killed or frozen since its start.
+    pub hurt: Cell<bool>,
+    /// Newest configuration that it showed since its start.
+    pub version: Cell<u64>,
 }
 
 /// All daemons.
@@ -65,6 +71,9 @@
                 ready,
                 settings: settings.display().to_string(),
                 process: RefCell::new(None),
+                boot: Cell::new(0),
+                hurt: Cell::new(false),
+                version: Cell::new(0),
             });
         }
         let fleet = Rc::new(Fleet {
@@ -80,6 +89,7 @@
 
     /// Starts a daemon's process, ending the former one first.
     pub fn launch(&self, daemon: &Daemon) -> Result<(), String> {
+        daemon.hurt.set(true);
         if let Some(mut old) = daemon.process.take() {
             old.kill();
         }
@@ -87,6 +97,9 @@
         let log = format!("{}-{}", self.seed, daemon.name);
         let process = self.spawner.daemon(&log, &args)?;
         daemon.process.replace(Some(process));
+        daemon.boot.set(daemon.boot.get() + 1);
+        daemon.hurt.set(false);
+        daemon.version.set(0);
         Ok(())
     }
 
@@ -130,6 +143,12 @@
         Ok(link.input.starts_with(b"HTTP/1.1 200"))
     }
 
+    /// Does something with the process that may cut its connections, if it runs.
+    pub fn hurt(&self, act: impl FnOnce(&mut Process)) {
+        self.hurt.set(true);
+        self.with(act);
+    }
+
     /// Does something with the process, if it runs.
     pub fn with(&self, act: impl FnOnce(&mut Process)) {
         if let Some(process) = self.process.borrow_mut().as_mut() {
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -97,7 +97,7 @@
     }
     let ledger = Rc::new(Ledger::default());
     for n in 0..CALLERS {
-        let client = Client::new(n, seed, &fleet, &ledger);
+        let client = Client::new(n, seed, &world, &fleet, &ledger);
         monoio::spawn(client.run());
     }
     pause(500).await;
