Wait for the fleet and for the homes of a group before a session is served here

When all VMs lose power (41 s), callers come back before a daemon has read the list of the others; a daemon that knows none takes itself for the home of every group.

Ruled out: connections that members still hold for the processes that died (8 daemons a database would have been within the cap); the queue (most refusals came with no wait: no position known, since no connection to the primary).

Change: a new session waits, at most the 1.5 s that it waits for its configuration, until the list was read and one of the homes takes it; homes that start are tried again each 50 ms.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -11,6 +11,7 @@
 use schema::Pos;
 
 use crate::exec::{Context, Work, single};
+use crate::state::pause;
 use crate::transaction::Transaction;
 use crate::{
     Dialect, End, ErrorKind, Plan, Proxy, Reply, Request, Statement, TxState, Verb, WireError,
@@ -19,8 +20,11 @@
 
 /// Time a caller has for its greeting, in ms.
 const GREETING_MS: u64 = 10_000;
-/// Time a new session waits for the first configuration, in ms.
+/// Time a new session waits for the first configuration and for a daemon that serves its group, in
+/// ms.
 const CONFIG_MS: u64 = 1500;
+/// Pause before the daemons of a group are tried again, in ms.
+const HOMES_AGAIN_MS: u64 = 50;
 
 /// Session values by name, with the text that set them.
 pub type Values = BTreeMap<Box<str>, Box<str>>;
@@ -92,14 +96,23 @@
     let Ok(Some(Request::Hello { database })) = first.await else {
         return Err(link);
     };
-    proxy.configured(Ms::now().plus(CONFIG_MS)).await;
-    let Some((_, group)) = proxy.route(&database) else {
-        return Err(link);
-    };
-    let Some(homes) = proxy.homes(&group) else {
-        return Err(link);
-    };
-    tunnel::hand_over(proxy, &homes, link).await
+    let until = Ms::now().plus(CONFIG_MS);
+    proxy.configured(until).await;
+    proxy.fleet_known(until).await;
+    loop {
+        let Some((_, group)) = proxy.route(&database) else {
+            return Err(link);
+        };
+        let Some(homes) = proxy.homes(&group) else {
+            return Err(link);
+        };
+        match tunnel::hand_over(proxy, &homes, link).await {
+            Ok(()) => return Ok(()),
+            Err(back) if until.left() == 0 => return Err(back),
+            Err(back) => link = back,
+        }
+        pause(HOMES_AGAIN_MS).await;
+    }
 }
 
 async fn serve_here(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -327,6 +327,13 @@
         }
         self.version.get() > 0
     }
+
+    /// Waits until the other daemons are known, or the time is over.
+    pub async fn fleet_known(&self, until: Ms) {
+        while !self.peers.is_known() && until.left() > 0 {
+            pause(CONFIG_LOOK_MS).await;
+        }
+    }
 }
 
 /// Time for which the word of a VM that stops counts, in ms; longer than any grace.
