Serve reads at the primary while no position is known

Cause: after a start a daemon knows no position of the primary, and refused reads of bounded age at once ("Behind", not run) until the first statuses had come.

Ruled out: waiting for a position (costs the same time as the lease on the primary, and serves fewer).

Change: without a known position the read needs the primary, under its lease; it is refused at once only when the primary cannot be used and nothing says that it soon can.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -116,10 +116,13 @@
         if write {
             return Ok(Need::Primary(arrival));
         }
-        let history = self.group.history.borrow();
-        read_need(self.route, arrival, self.own, &history).ok_or_else(|| {
-            Reply::error(ErrorKind::Behind, "no position is known to be fresh enough")
-        })
+        let known = read_need(self.route, arrival, self.own, &self.group.history.borrow());
+        // The primary serves any read, also while no position is known, as after a start.
+        if known.is_none() && self.group.is_hopeless() {
+            let text = "no position is known to be fresh enough";
+            return Err(Reply::error(ErrorKind::Behind, text));
+        }
+        Ok(known.unwrap_or(Need::Primary(arrival)))
     }
 
     /// Longest wait for one attempt.
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -256,7 +256,9 @@
 /// a sixth of all that they were sent.
 #[test]
 fn a_replica_that_stands_still_is_rarely_asked() {
-    let naive = questions(20_000, |_, last, now| last.plus(15) <= now || now == Ms(1000));
+    let naive = questions(20_000, |_, last, now| {
+        last.plus(15) <= now || now == Ms(1000)
+    });
     let now = questions(20_000, |behind, _, now| behind.may_ask(now));
     assert!(naive > 1300, "{naive}");
     assert!(now < 60, "{now}");
