Count reads by place and reason, count retries; the catalogue lists what is served

Cause: `hollyreach_reads` and `hollyreach_retries` were registered and never counted, so that they were always absent or 0 on the platform; docs/METRICS.md listed only what goes to statsd.

Ruled out: counting in `single` and `Transaction` apart (two places); the statement's context now knows where it was sent last, why, and how often it was tried, and the one place that logs an answer counts.

The two equal ways to make a context are one function.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -9,7 +9,11 @@
 use crate::group::Refusal;
 use crate::place::{Need, read_need};
 use crate::state::pause;
-use crate::{Command, Conn, ErrorKind, Group, Lost, Plan, Rank, Reply, Route, Statement};
+use crate::stats::Place;
+use crate::{
+    Command, Conn, ErrorKind, Freshness, Group, Lost, Member, Plan, Rank, Reply, Role, Route,
+    Statement,
+};
 
 /// Time for which a member without room gets no reads, in ms.
 const FULL_MS: u64 = 15;
@@ -99,9 +103,27 @@
     pub member: RefCell<Box<str>>,
     /// Time after its arrival at which it had that member's connection, in ms.
     pub waited: Cell<u64>,
+    /// Where it was sent last, and why.
+    pub place: RefCell<Option<Place>>,
+    /// Attempts that were followed by another.
+    pub retries: Cell<u64>,
 }
 
-impl Context<'_> {
+impl<'a> Context<'a> {
+    /// A statement that was sent nowhere yet.
+    pub fn new(group: &'a Rc<Group>, route: &'a Route, own: Pos, arrival: Ms) -> Context<'a> {
+        Context {
+            group,
+            route,
+            own,
+            until: arrival.plus(route.timeout),
+            member: RefCell::default(),
+            waited: Cell::new(0),
+            place: RefCell::default(),
+            retries: Cell::new(0),
+        }
+    }
+
     /// How it stands in the queue.
     pub fn rank(&self, arrival: Ms) -> Rank {
         Rank {
@@ -143,10 +165,24 @@
         if let Ok(conn) = &result {
             self.member.replace(conn.member.id.clone());
             self.waited.set(work.arrival.elapsed());
+            self.place.replace(Some(self.placed(need, &conn.member)));
         }
         result.map_err(|refusal| self.refuse(work, refusal, tries))
     }
 
+    fn placed(&self, need: Need, member: &Member) -> Place {
+        let leads = member.word.get().is_some_and(|w| w.role == Role::Primary);
+        let reason = match need {
+            Need::Primary(_) if self.route.freshness == Freshness::Newest => "newest",
+            Need::Primary(_) => "no_position",
+            Need::Holds(_) | Need::This(_) => "cheapest",
+        };
+        Place {
+            role: if leads { "primary" } else { "replica" },
+            reason,
+        }
+    }
+
     fn refuse(&self, work: &Work, refusal: Refusal, tries: &Tries) -> Reply {
         let text = match refusal {
             Refusal::Full => "no capacity within the time allowed",
@@ -202,6 +238,7 @@
         if self.until.left() == 0 {
             return Next::Tell(Reply::error(ErrorKind::Busy, "no time is left"));
         }
+        self.retries.set(self.retries.get() + 1);
         Next::Again
     }
 
@@ -223,6 +260,7 @@
 
     /// Logs an attempt that is followed by another.
     pub fn tried(&self, work: &Work, member: &str, e: &Lost) {
+        self.retries.set(self.retries.get() + 1);
         emit(
             Event::Tried,
             &[
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -43,5 +43,5 @@
 pub use session::serve;
 pub use state::{Call, Orders, Promotion, Proxy, Settings, Token};
 pub use statement::{Plan, Request, Statement, Verb};
-pub use stats::{Outcome, Stats};
+pub use stats::{Labels, Outcome, Place, Stats};
 pub use suspect::{Cause, Sight, suspect};
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,6 +1,5 @@
 //! One caller's session, from its greeting to its end.
 
-use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -395,14 +394,7 @@
             write: false,
             arrival,
         };
-        let cx = Context {
-            group: &group,
-            route: &route,
-            own: self.own,
-            until: arrival.plus(route.timeout),
-            member: RefCell::default(),
-            waited: Cell::new(0),
-        };
+        let cx = Context::new(&group, &route, self.own, arrival);
         let reply = tx.commit(&cx, &work, &self.values).await;
         proxy.note(&cx, &work, &reply);
         self.took(&reply, true);
@@ -413,14 +405,7 @@
         let Some((route, group)) = proxy.route(&self.database) else {
             return self.local(Reply::error(ErrorKind::NoDatabase, &self.database));
         };
-        let cx = Context {
-            group: &group,
-            route: &route,
-            own: self.own,
-            until: work.arrival.plus(route.timeout),
-            member: RefCell::default(),
-            waited: Cell::new(0),
-        };
+        let cx = Context::new(&group, &route, self.own, work.arrival);
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &work, &self.values).await,
             None => single(&cx, &work, &self.values).await,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -222,6 +222,14 @@
         self.stats.statements.get_or_create(&labels).inc();
         self.stats.latency.observe(millis(took));
         self.stats.wait.observe(millis(cx.waited.get()));
+        self.stats.retries.inc_by(cx.retries.get());
+        let place = cx.place.borrow();
+        if let Some(place) = place.as_ref()
+            && outcome == Outcome::Served
+            && !work.write
+        {
+            self.stats.reads.get_or_create(place).inc();
+        }
         emit(
             if outcome == Outcome::Served {
                 Event::Served
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -40,7 +40,7 @@
 }
 
 /// Labels of a read that was served.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
 pub struct Place {
     /// Part of the member that served it.
@@ -86,10 +86,11 @@
         };
         registry.register(
             "statements",
-            "Statements answered",
+            "Statements answered, by group, outcome and whether they write",
             stats.statements.clone(),
         );
-        registry.register("reads", "Reads served, by place", stats.reads.clone());
+        let help = "Reads served, by the part of the member and the reason for it";
+        registry.register("reads", help, stats.reads.clone());
         let help = "Time from arrival to answer, in ms";
         registry.register("latency_ms", help, stats.latency.clone());
         let help = "Time waited for a connection, in ms";
--- a/xtask/src/codegen/catalogue.rs
+++ b/xtask/src/codegen/catalogue.rs
@@ -95,6 +95,10 @@
     for (_, m) in table::<MetricSpec>(text, "metrics") {
         let _ = writeln!(out, "| `hollyreach.{}` | {} |", m.name, m.doc);
     }
+    out.push_str("\n## On the platform\n\nServed as OpenMetrics text on the address in `metrics`. Counters carry the suffix `_total`, histograms `_bucket`,\n`_sum` and `_count`.\n\n| name | meaning |\n|---|---|\n");
+    for (_, m) in table::<MetricSpec>(text, "served") {
+        let _ = writeln!(out, "| `hollyreach_{}` | {} |", m.name, m.doc);
+    }
     out
 }
 
