Soak: more planned changes of primary, reads of what was written last, versions looked at more often

Cause: five faults put into scratch copies (trials). Not found: an older configuration after an outage of the store, and the lease not looked at.

Conclusion: kept; a fault that hides a change from one daemon is still needed for the lease.

--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -7,7 +7,6 @@
 use std::rc::{Rc, Weak};
 
 use base::{Event, Ms, Signal, emit};
-use schema::Pos;
 
 use crate::suspect::Sight;
 use crate::tunnel::Peers;
@@ -327,14 +326,4 @@
         let soon = self.sight().changing || self.newest_term() == 0;
         out_for > if soon { HOPE_CHANGE_MS } else { HOPE_MS }
     }
-
-    /// A position that any read of this session may be served at, for logs.
-    pub fn newest_pos(&self) -> Pos {
-        let members = self.members.borrow();
-        members
-            .iter()
-            .map(|m| m.pos.get())
-            .max()
-            .unwrap_or(Pos::ZERO)
-    }
 }
--- a/xtask/src/soak/client.rs
+++ b/xtask/src/soak/client.rs
@@ -97,7 +97,7 @@
         while !self.ledger.stop.get() {
             let route = *self.rng.choice(&["newest", "own", "aged"]).expect("some");
             let group = self.rng.usize(..GROUPS);
-            if self.rng.u8(..8) == 0 {
+            if self.rng.u8(..3) == 0 {
                 self.look_at_version().await;
             }
             let Some(mut session) = self.connect(group, route).await else {
@@ -151,7 +151,11 @@
         let daemon = &self.fleet.daemons[n];
         let (boot, before) = (daemon.boot.get(), daemon.version.get());
         let newest = self.world.version();
-        let version = self.rng.u64(newest.saturating_sub(2).max(1)..=newest);
+        let version = if self.rng.bool() {
+            newest
+        } else {
+            self.rng.u64(1..=newest)
+        };
         let served = self.open(n, &format!("v{version}")).await.is_some();
         if !served || daemon.boot.get() != boot {
             return;
@@ -209,10 +213,11 @@
 
     async fn read(&mut self, session: &mut Session, route: &str) -> Result<(), Ended> {
         let own = route == "own" && self.rng.bool();
-        let item = if own {
-            self.item()
-        } else {
-            format!("c{}g0", self.rng.usize(..super::CALLERS))
+        let newest = self.ledger.newest(session.group);
+        let item = match newest.filter(|_| self.rng.bool()) {
+            _ if own => self.item(),
+            Some(item) => item,
+            None => format!("c{}g0", self.rng.usize(..super::CALLERS)),
         };
         let start = Ms::now();
         let least = match route {
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -10,6 +10,8 @@
 
 /// Shortest and longest pause between two faults, in ms.
 const GAP_MS: (u64, u64) = (150, 1800);
+/// Time in which a primary that will leave is replaced, in ms.
+const REPLACE_MS: u64 = 2500;
 /// Shortest and longest fault, in ms.
 const LENGTH_MS: (u64, u64) = (300, 4500);
 
@@ -38,7 +40,7 @@
     } else {
         rng.usize(..group.members.len())
     };
-    let kind = rng.u8(..8);
+    let kind = rng.u8(..10);
     let other = (i + 1 + rng.usize(..2)) % group.members.len();
     let daemon: Box<str> = fleet.daemons[rng.usize(..fleet.daemons.len())]
         .name
@@ -83,6 +85,12 @@
                 pause(length).await;
                 group.drain(i, false);
             }
+            // The old primary lives on, and would answer whoever has not heard of the new one.
+            7 | 8 => {
+                group.drain(primary, true);
+                pause(length.max(REPLACE_MS)).await;
+                group.drain(primary, false);
+            }
             _ => {
                 member.slow.set(10);
                 pause(length).await;
@@ -97,7 +105,7 @@
         .name
         .as_str();
     let whom = if rng.bool() { one } else { "" };
-    match rng.u8(..7) {
+    match rng.u8(..9) {
         0 => world.store.fail(whom, Outage::Busy, length),
         1 => world.store.fail(whom, Outage::Silent, length),
         2 => world.store.fail(whom, Outage::Reset, length),
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -39,6 +39,8 @@
     writes: RefCell<HashMap<String, Told>>,
     /// Acknowledged counters by group and item, with the instants.
     acked: RefCell<HashMap<Key, Vec<(Ms, u64)>>>,
+    /// Items by group whose writes were acknowledged last.
+    newest: RefCell<HashMap<usize, String>>,
     faults: RefCell<Vec<String>>,
     /// Service that came late or was scarce, which depends on the machine's load.
     slow: RefCell<Vec<String>>,
@@ -60,12 +62,18 @@
         let token = format!("{group}/{item}.{count}");
         self.writes.borrow_mut().insert(token, told);
         if told == Told::Kept {
+            self.newest.borrow_mut().insert(group, item.to_owned());
             let key = (group, item.to_owned());
             let mut acked = self.acked.borrow_mut();
             acked.entry(key).or_default().push((Ms::now(), count));
         }
     }
 
+    /// The item of a group whose write was acknowledged last, which a stale read misses first.
+    pub fn newest(&self, group: usize) -> Option<String> {
+        self.newest.borrow().get(&group).cloned()
+    }
+
     /// The newest counter of an item that was acknowledged up to an instant.
     pub fn acked(&self, group: usize, item: &str, at: Ms) -> u64 {
         let acked = self.acked.borrow();
