Soak: a daemon that sleeps through a change of primary

Change: a fault that freezes one daemon, lets the primary be replaced meanwhile, and wakes the daemon while the old primary still answers.

--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -12,6 +12,8 @@
 const GAP_MS: (u64, u64) = (150, 1800);
 /// Time in which a primary that will leave is replaced, in ms.
 const REPLACE_MS: u64 = 2500;
+/// Shortest and longest sleep of a daemon through a change, in ms.
+const ASLEEP_MS: (u64, u64) = (1150, 1800);
 /// Shortest and longest fault, in ms.
 const LENGTH_MS: (u64, u64) = (300, 4500);
 
@@ -32,7 +34,7 @@
     }
 }
 
-fn member_fault(world: &Rc<World>, fleet: &Fleet, rng: &mut fastrand::Rng, length: u64) {
+fn member_fault(world: &Rc<World>, fleet: &Rc<Fleet>, rng: &mut fastrand::Rng, length: u64) {
     let group = world.groups[rng.usize(..world.groups.len())].clone();
     let primary = group.primary.get();
     let i = if rng.bool() {
@@ -40,13 +42,13 @@
     } else {
         rng.usize(..group.members.len())
     };
-    let kind = rng.u8(..10);
+    let kind = rng.u8(..11);
     let other = (i + 1 + rng.usize(..2)) % group.members.len();
-    let daemon: Box<str> = fleet.daemons[rng.usize(..fleet.daemons.len())]
-        .name
-        .as_str()
-        .into();
+    let n = rng.usize(..fleet.daemons.len());
+    let daemon: Box<str> = fleet.daemons[n].name.as_str().into();
     let answers = rng.bool();
+    let asleep = rng.u64(ASLEEP_MS.0..ASLEEP_MS.1);
+    let fleet = fleet.clone();
     monoio::spawn(async move {
         let member = group.members[i].clone();
         match kind {
@@ -91,6 +93,15 @@
                 pause(length.max(REPLACE_MS)).await;
                 group.drain(primary, false);
             }
+            // A daemon that sleeps through the change wakes up with the old primary in mind.
+            9 => {
+                fleet.daemons[n].hurt(|p| p.freeze());
+                group.drain(primary, true);
+                pause(asleep).await;
+                fleet.daemons[n].with(|p| p.thaw());
+                pause(REPLACE_MS).await;
+                group.drain(primary, false);
+            }
             _ => {
                 member.slow.set(10);
                 pause(length).await;
