End sessions before the process ends, also inside transactions and when handed over

A VM got SIGTERM at 25.01 s; a caller of a handed session sent a request at 30.33 s, and the process ended at 30.52 s, 0.5 s before the end of its grace, with the request on its way. Sessions inside a transaction, and handed ones whose home had not heard of the stop, stayed open to the very end. The stop was told once, with 250 ms for it.

Ruled out: ending the process later (a request may always come in the last moment); ending handed sessions at once (an answer may be due).

The stop is told up to eight times.

--- a/crates/hollyreach/tests/stop.rs
+++ b/crates/hollyreach/tests/stop.rs
@@ -6,7 +6,7 @@
 use std::process::Stdio;
 use std::rc::Rc;
 
-use common::{ask, connect, pause, run, start};
+use common::{Daemon, ask, connect, pause, run, start};
 use rustix::process::{Pid, Signal, kill_process};
 use world::World;
 
@@ -50,6 +50,11 @@
     }
 }
 
+fn terminate(daemon: &Daemon) {
+    let pid = i32::try_from(daemon.process.id()).expect("a process id");
+    kill_process(Pid::from_raw(pid).expect("not 0"), Signal::TERM).expect("signalled");
+}
+
 #[test]
 fn a_stop_ends_sessions_between_transactions() {
     run(async {
@@ -63,8 +68,7 @@
             pause(10).await;
         }
         pause(BEFORE_MS).await;
-        let pid = i32::try_from(daemon.process.id()).expect("a process id");
-        kill_process(Pid::from_raw(pid).expect("not 0"), Signal::TERM).expect("signalled");
+        terminate(&daemon);
         while seen.ended.get() < CALLERS {
             pause(20).await;
         }
@@ -78,3 +82,25 @@
         assert!(status.success(), "{status}");
     });
 }
+
+/// A caller that rests inside a transaction while the daemon stops.
+#[test]
+fn a_session_that_rests_in_a_transaction_ends_before_the_process() {
+    run(async {
+        let world = World::start(1, 1000);
+        let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("rest.log");
+        let log = std::fs::File::create(&file).expect("created");
+        let mut daemon = start(&world, "rest", GRACE_MS, log.into());
+        let mut caller = connect(&daemon.listen, "g0-newest").await;
+        for text in ["QUERY q1 BEGIN\r\n", "QUERY q2 READ x\r\n"] {
+            ask(&mut caller, text).await.expect("an answer");
+        }
+        terminate(&daemon);
+        assert_eq!(caller.fill().await.expect("a clean end"), 0);
+        let status = daemon.process.wait().expect("it ends");
+        assert!(status.success(), "{status}");
+        let log = std::fs::read_to_string(&file).expect("readable");
+        let last = log.lines().rfind(|line| line.contains("H772"));
+        assert!(last.is_some_and(|line| line.ends_with("cut=0")), "{last:?}");
+    });
+}
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -208,10 +208,15 @@
         proxy.is_closing(self.origin.as_deref())
     }
 
+    /// Whether the session ends before its next statement.
+    fn ends(&self, proxy: &Proxy) -> bool {
+        proxy.ending.get() || self.is_closing(proxy) && self.state == TxState::Idle
+    }
+
     async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut Link) {
         let mut out = BytesMut::new();
         loop {
-            if self.is_closing(proxy) && self.state == TxState::Idle && link.input.is_empty() {
+            if self.ends(proxy) && link.input.is_empty() {
                 return;
             }
             link.shrink();
@@ -266,7 +271,7 @@
     /// Waits for the next message, for the end of an idle transaction, or for the daemon to stop.
     async fn wait(&self, proxy: &Rc<Proxy>, link: &mut Link) -> Next {
         let seen = proxy.stop.count();
-        if self.is_closing(proxy) && self.state == TxState::Idle {
+        if self.ends(proxy) {
             return next(proxy.dialect, link).await;
         }
         let idle = if self.tx.is_some() {
@@ -279,8 +284,7 @@
             request = next(proxy.dialect, link) => request,
             () = monoio::time::sleep(idle) => Next::Idle,
             () = proxy.stop.wait_past(seen) => {
-                let ends = self.is_closing(proxy) && self.state == TxState::Idle;
-                if ends && link.input.is_empty() { Next::End } else { Next::Look }
+                if self.ends(proxy) && link.input.is_empty() { Next::End } else { Next::Look }
             }
         }
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -82,6 +82,8 @@
     pub sessions: Cell<u64>,
     /// Whether sessions end at their next boundary.
     pub closing: Cell<bool>,
+    /// Whether sessions end at once, unless an answer is due.
+    pub ending: Cell<bool>,
     /// VMs that said that they stop, and when.
     stopped: RefCell<HashMap<Box<str>, Ms>>,
     /// Notified when `closing` is set.
@@ -105,6 +107,7 @@
             stats: Stats::default(),
             sessions: Cell::new(0),
             closing: Cell::new(false),
+            ending: Cell::new(false),
             stopped: RefCell::default(),
             stop: Signal::default(),
             early: RefCell::default(),
@@ -267,6 +270,12 @@
         tunnel::announce_stop(self.peers.all(), &self.settings.name);
     }
 
+    /// Ends sessions that no answer is due to, also inside transactions.
+    pub fn end(&self) {
+        self.ending.set(true);
+        self.stop.notify();
+    }
+
     /// Ends the sessions that a VM has handed over, at their next boundary.
     pub(crate) fn stop_from(&self, vm: &str) {
         self.stopped.borrow_mut().insert(vm.into(), Ms::now());
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -16,6 +16,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable, copy};
 use monoio::net::{TcpListener, TcpStream};
 
+use crate::state::pause;
 use crate::{Proxy, relay, session};
 
 /// Time to open one leg of a tunnel, in ms.
@@ -36,6 +37,12 @@
 const CONFIG_MAX: usize = 8 << 20;
 /// Begins the target by which a VM says that it stops.
 const STOP: &str = "stop.";
+/// Attempts to tell a daemon that this one stops.
+const STOP_TRIES: usize = 8;
+/// Pause between two of them, in ms.
+const STOP_AGAIN_MS: u64 = 250;
+/// Silence after which an answer counts as whole, in ms.
+const QUIET_MS: u64 = 100;
 /// Answer to what is taken.
 const TAKEN: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
 /// Answer to what is not taken.
@@ -163,7 +170,7 @@
         let taken = home.is_ok();
         if let Ok(mut home) = home {
             // Nobody but the two ends is told of an error between them: both connections close.
-            let _ = pump(&mut caller, &mut home).await;
+            let _ = pump(proxy, &mut caller, &mut home).await;
         }
         proxy.peers.drop_handed(peer.addr);
         if taken {
@@ -187,18 +194,33 @@
     .await
 }
 
-/// Copies both ways until one side ends.
-async fn pump(caller: &mut Link, home: &mut Link) -> io::Result<()> {
+/// Waits until nothing more of an answer is to be expected; for ever unless asked to.
+async fn quiet(wanted: bool) {
+    if wanted {
+        pause(QUIET_MS).await;
+    } else {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Copies both ways until one side ends, or until the daemon ends and no answer is due.
+async fn pump(proxy: &Proxy, caller: &mut Link, home: &mut Link) -> io::Result<()> {
+    let mut due = true;
     loop {
         let bytes = caller.input.split();
+        due |= !bytes.is_empty();
         home.send(&bytes).await?;
         let bytes = home.input.split();
+        due &= bytes.is_empty();
         caller.send(&bytes).await?;
         caller.shrink();
         home.shrink();
+        let seen = proxy.stop.count();
         let read = monoio::select! {
             read = caller.fill() => read?,
             read = home.fill() => read?,
+            () = proxy.stop.wait_past(seen) => continue,
+            () = quiet(proxy.ending.get() && !due) => return Ok(()),
         };
         if read == 0 {
             let bytes = home.input.split();
@@ -212,8 +234,13 @@
     for peer in peers {
         let target = format!("{STOP}{vm}");
         monoio::spawn(async move {
-            // One that does not hear it ends the sessions when this process ends.
-            let _ = within(through(peer.addr, &target)).await;
+            for _ in 0..STOP_TRIES {
+                match within(through(peer.addr, &target)).await {
+                    Ok(_) => return,
+                    Err(e) => emit(Event::TunnelFailed, &[("peer", &peer.name), ("cause", &e)]),
+                }
+                pause(STOP_AGAIN_MS).await;
+            }
         });
     }
 }
