Split taking a session from serving it

Change: greet.rs reads the greeting and serves, hands over or refuses; session.rs runs statements. Nothing else moves.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,34 +1,25 @@
-//! One caller's session, from its greeting to its end.
+//! One caller's session, after its greeting.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Event, Ms, emit};
+use base::Ms;
 use bytes::BytesMut;
 use link::Link;
 use schema::Pos;
 
 use crate::exec::{Context, Work, single};
-use crate::state::pause;
 use crate::transaction::Transaction;
 use crate::{
     Dialect, End, ErrorKind, Plan, Proxy, Reply, Request, Statement, TxState, Verb, WireError,
-    tunnel,
 };
 
-/// Time a caller has for its greeting, in ms.
-const GREETING_MS: u64 = 10_000;
-/// Time a new session waits for the first configuration and for a daemon that serves its group, in
-/// ms.
-const CONFIG_MS: u64 = 1500;
-/// Pause before the daemons of a group are tried again, in ms.
-const HOMES_AGAIN_MS: u64 = 50;
-
 /// Session values by name, with the text that set them.
 pub type Values = BTreeMap<Box<str>, Box<str>>;
 
-struct Session {
+/// One caller's session.
+pub struct Session {
     /// The VM that has handed it over, if one has.
     origin: Option<Box<str>>,
     database: Box<str>,
@@ -45,7 +36,7 @@
 }
 
 /// What the next message of the caller is, or that there is none.
-enum Next {
+pub enum Next {
     Request(Request),
     /// Bytes that are no message; nothing after them can be understood.
     Broken(WireError),
@@ -56,138 +47,8 @@
     End,
 }
 
-/// Serves one caller until it leaves or the daemon stops, here or at a daemon of its group.
-pub async fn serve(proxy: Rc<Proxy>, link: Link) {
-    serve_handed(proxy, link, None).await;
-}
-
-/// As `serve`, for a session that the VM `origin` has handed over.
-pub async fn serve_handed(proxy: Rc<Proxy>, mut link: Link, origin: Option<Box<str>>) {
-    proxy.sessions.set(proxy.sessions.get() + 1);
-    let handed = if origin.is_none() {
-        hand_over(&proxy, link).await
-    } else {
-        Err(link)
-    };
-    if let Err(back) = handed {
-        link = back;
-        serve_here(&proxy, &mut link, origin).await;
-    }
-    proxy.sessions.set(proxy.sessions.get() - 1);
-}
-
-/// Hands a session to a daemon that serves its group; gives it back when that is this one.
-async fn hand_over(proxy: &Rc<Proxy>, mut link: Link) -> Result<(), Link> {
-    let wait = Duration::from_millis(GREETING_MS);
-    let first = monoio::time::timeout(wait, async {
-        // The greeting is only looked at here; whoever serves the session reads it again.
-        loop {
-            let mut look = link.input.clone();
-            match (proxy.dialect.request)(&mut look) {
-                Ok(None) => {}
-                other => return other.ok().flatten(),
-            }
-            if !matches!(link.fill().await, Ok(n) if n > 0) {
-                return None;
-            }
-        }
-    });
-    let Ok(Some(Request::Hello { database })) = first.await else {
-        return Err(link);
-    };
-    let until = Ms::now().plus(CONFIG_MS);
-    proxy.configured(until).await;
-    proxy.fleet_known(until).await;
-    loop {
-        let Some((_, group)) = proxy.route(&database) else {
-            return Err(link);
-        };
-        let Some(homes) = proxy.homes(&group) else {
-            return Err(link);
-        };
-        match tunnel::hand_over(proxy, &homes, link).await {
-            Ok(()) => return Ok(()),
-            Err(back) if until.left() == 0 => return Err(back),
-            Err(back) => link = back,
-        }
-        pause(HOMES_AGAIN_MS).await;
-    }
-}
-
-async fn serve_here(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) {
-    if let Some(mut session) = greet(proxy, link, origin).await {
-        let served = proxy.route(&session.database).map(|(_, group)| group);
-        if let Some(group) = &served {
-            group.sessions.set(group.sessions.get() + 1);
-        }
-        session.run(proxy, link).await;
-        if let Some(group) = &served {
-            group.sessions.set(group.sessions.get() - 1);
-        }
-        if let Some(tx) = session.tx.take()
-            && let Some((_, group)) = proxy.route(&session.database)
-        {
-            tx.roll_back(&group, None).await;
-        }
-    }
-}
-
-async fn greet(proxy: &Rc<Proxy>, link: &mut Link, origin: Option<Box<str>>) -> Option<Session> {
-    let wait = Duration::from_millis(GREETING_MS);
-    let first = monoio::time::timeout(wait, next(proxy.dialect, link));
-    let Ok(Next::Request(Request::Hello { database })) = first.await else {
-        return refuse(
-            proxy,
-            link,
-            ErrorKind::Malformed,
-            "a session begins with its database",
-        )
-        .await;
-    };
-    if proxy.sessions.get() > proxy.settings.callers {
-        return refuse(proxy, link, ErrorKind::TooMany, "too many sessions").await;
-    }
-    if !proxy.configured(Ms::now().plus(CONFIG_MS)).await {
-        return refuse(proxy, link, ErrorKind::Busy, "no configuration yet").await;
-    }
-    if proxy.route(&database).is_none() {
-        return refuse(proxy, link, ErrorKind::NoDatabase, &database).await;
-    }
-    let session = Session {
-        origin,
-        database,
-        values: Values::new(),
-        plans: BTreeMap::new(),
-        own: Pos::ZERO,
-        shown: None,
-        tx: None,
-        state: TxState::Idle,
-    };
-    let mut out = BytesMut::new();
-    (proxy.dialect.reply)(&Reply::greeting(), &mut out);
-    link.send(&out).await.ok()?;
-    Some(session)
-}
-
-async fn refuse(
-    proxy: &Rc<Proxy>,
-    link: &mut Link,
-    kind: ErrorKind,
-    text: &str,
-) -> Option<Session> {
-    emit(
-        Event::SessionRefused,
-        &[("kind", &format!("{kind:?}")), ("cause", &text)],
-    );
-    let mut out = BytesMut::new();
-    (proxy.dialect.reply)(&Reply::refusal(kind, text), &mut out);
-    // The caller may be gone already; there is nobody else to tell.
-    let _ = link.send(&out).await;
-    let _ = link.shut_down().await;
-    None
-}
-
-async fn next(dialect: Dialect, link: &mut Link) -> Next {
+/// Reads the next message.
+pub async fn next(dialect: Dialect, link: &mut Link) -> Next {
     loop {
         match (dialect.request)(&mut link.input) {
             Ok(Some(request)) => return Next::Request(request),
@@ -204,6 +65,34 @@
 }
 
 impl Session {
+    /// A session for a database.
+    pub fn new(origin: Option<Box<str>>, database: Box<str>) -> Session {
+        Session {
+            origin,
+            database,
+            values: Values::new(),
+            plans: BTreeMap::new(),
+            own: Pos::ZERO,
+            shown: None,
+            tx: None,
+            state: TxState::Idle,
+        }
+    }
+
+    /// Its database.
+    pub fn database(&self) -> &str {
+        &self.database
+    }
+
+    /// Drops an open transaction, after the session has ended.
+    pub async fn abandon(&mut self, proxy: &Proxy) {
+        if let Some(tx) = self.tx.take()
+            && let Some((_, group)) = proxy.route(&self.database)
+        {
+            tx.roll_back(&group, None).await;
+        }
+    }
+
     fn is_closing(&self, proxy: &Proxy) -> bool {
         proxy.is_closing(self.origin.as_deref())
     }
@@ -213,7 +102,8 @@
         proxy.ending.get() || self.is_closing(proxy) && self.state == TxState::Idle
     }
 
-    async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut Link) {
+    /// Serves it until the caller leaves or the daemon stops.
+    pub async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut Link) {
         let mut out = BytesMut::new();
         loop {
             if self.ends(proxy) && link.input.is_empty() {
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -17,7 +17,7 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::state::pause;
-use crate::{Proxy, relay, session};
+use crate::{Proxy, greet, relay};
 
 /// Time to open one leg of a tunnel, in ms.
 const LEG_MS: u64 = 250;
@@ -289,7 +289,7 @@
     }
     write(&mut stream, TAKEN).await?;
     let origin = Some(Box::from(vm));
-    session::serve_handed(proxy.clone(), Link::new(stream)?, origin).await;
+    greet::serve_handed(proxy.clone(), Link::new(stream)?, origin).await;
     Ok(())
 }
 
