Keep handed sessions open after a refusal

Cause: a session ends after a refusal while its daemon can reach too few primaries, so that the caller goes elsewhere. When another daemon passes it on, the caller's next statement may be on its way already; it is read by that daemon and never answered.

Ruled out: answering for the home (whether it ran the statement is not known).

Change: only sessions that came directly are ended so.

Figures: `a_handed_session_goes_on_after_a_refusal` failed before ("no answer: QUERY q2") and passes.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -134,8 +134,10 @@
             if link.send(&out).await.is_err() {
                 return;
             }
-            // The caller is better served by a daemon that can reach the primaries.
-            if self.state == TxState::Idle
+            // The caller is better served by a daemon that can reach the primaries. Its next statement
+            // may be on its way already when another daemon passes it on.
+            if self.origin.is_none()
+                && self.state == TxState::Idle
                 && reply.kind() == Some(ErrorKind::Busy)
                 && !proxy.is_ready()
             {
