Soak: hold the addresses of all daemons until each has its own

A free address was found by binding and letting go, so that the next bind could be given the same port; listeners here share ports, so both bound it, and vm-4's store calls were answered 404 by vm-1's HTTP.

Change: the addresses of all daemons are bound and held until every stand-in has its own, then let go.

--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -38,8 +38,25 @@
     seed: u64,
 }
 
-fn free_addr() -> Result<String, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+/// Addresses of one daemon, which nobody else is given while they are held.
+struct Reserved {
+    listen: TcpListener,
+    ready: TcpListener,
+    internal: TcpListener,
+}
+
+impl Reserved {
+    fn new() -> Result<Reserved, String> {
+        let bind = || TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string());
+        Ok(Reserved {
+            listen: bind()?,
+            ready: bind()?,
+            internal: bind()?,
+        })
+    }
+}
+
+fn address(listener: &TcpListener) -> Result<String, String> {
     let addr = listener.local_addr().map_err(|e| e.to_string())?;
     Ok(addr.to_string())
 }
@@ -53,11 +70,16 @@
         count: usize,
     ) -> Result<Rc<Fleet>, String> {
         let folder = crate::cluster::target().join("soak");
+        // All are held until each daemon and each stand-in has its own: listeners share ports.
+        let reserved: Vec<Reserved> = (0..count)
+            .map(|_| Reserved::new())
+            .collect::<Result<_, _>>()?;
         let mut daemons = Vec::new();
-        for n in 0..count {
+        for (n, own) in reserved.iter().enumerate() {
             let name = format!("vm-{n}");
             let (store, orders) = world.open_for(&name);
-            let (listen, ready, internal) = (free_addr()?, free_addr()?, free_addr()?);
+            let (listen, ready) = (address(&own.listen)?, address(&own.ready)?);
+            let internal = address(&own.internal)?;
             let settings = folder.join(format!("{seed}-{name}.yaml"));
             let text = format!(
                 "name: {name}\ndata_center: z{}\nlisten: {listen}\nready: {ready}\n\
@@ -76,6 +98,7 @@
                 version: Cell::new(0),
             });
         }
+        drop(reserved);
         let fleet = Rc::new(Fleet {
             daemons,
             spawner,
