--- a/crates/hollyreach/tests/common/mod.rs
+++ b/crates/hollyreach/tests/common/mod.rs
@@ -24,15 +24,6 @@
     }
 }
 
-/// Runs a test in a runtime of its own.
-pub fn run(test: impl Future<Output = ()>) {
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("a runtime");
-    runtime.block_on(test);
-}
-
 pub async fn pause(ms: u64) {
     monoio::time::sleep(Duration::from_millis(ms)).await;
 }
--- a/crates/hollyreach/tests/log_reader.rs
+++ b/crates/hollyreach/tests/log_reader.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use base::Ms;
-use common::{ask, connect, run, start};
-use world::World;
+use common::{ask, connect, start};
+use world::{World, run};
 
 /// Time under statements, in ms; long enough to fill the pipe and the queue before it.
 const LOAD_MS: u64 = 12_000;
--- a/crates/hollyreach/tests/stop.rs
+++ b/crates/hollyreach/tests/stop.rs
@@ -6,9 +6,9 @@
 use std::process::Stdio;
 use std::rc::Rc;
 
-use common::{Daemon, ask, connect, pause, run, start};
+use common::{Daemon, ask, connect, pause, start};
 use rustix::process::{Pid, Signal, kill_process};
-use world::World;
+use world::{World, run};
 
 /// Callers.
 const CALLERS: usize = 12;
--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -36,31 +36,32 @@
 
 /// Serves the store to one daemon.
 pub fn serve_store(world: Rc<World>, daemon: &str) -> String {
-    let (listener, addr) = bind();
     let daemon: Rc<str> = daemon.into();
-    monoio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let (world, daemon) = (world.clone(), daemon.clone());
-            monoio::spawn(connection(stream, move |call| {
-                let (world, daemon) = (world.clone(), daemon.clone());
-                async move { store_call(&world.store, &daemon, &call).await }
-            }));
-        }
-    });
-    addr
+    serve(move |call| {
+        let (world, daemon) = (world.clone(), daemon.clone());
+        async move { store_call(&world.store, &daemon, &call).await }
+    })
 }
 
 /// Serves the promotion API to one daemon.
 pub fn serve_orders(world: Rc<World>, daemon: &str) -> String {
-    let (listener, addr) = bind();
     let daemon: Rc<str> = daemon.into();
+    serve(move |call| {
+        let (world, daemon) = (world.clone(), daemon.clone());
+        async move { promote(&world, &daemon, &call).await }
+    })
+}
+
+/// Answers calls on a port of its own; returns the address.
+fn serve<F, A>(handler: F) -> String
+where
+    F: Fn(Call) -> A + Clone + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let (listener, addr) = bind();
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let (world, daemon) = (world.clone(), daemon.clone());
-            monoio::spawn(connection(stream, move |call| {
-                let (world, daemon) = (world.clone(), daemon.clone());
-                async move { promote(&world, &daemon, &call).await }
-            }));
+            monoio::spawn(connection(stream, handler.clone()));
         }
     });
     addr
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -16,6 +16,18 @@
 pub use group::{Entry, Group, Member};
 pub use store::{Outage, Store};
 
+/// Runs a test in a runtime of its own.
+///
+/// # Panics
+/// When the runtime cannot be made.
+pub fn run(test: impl Future<Output = ()>) {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test);
+}
+
 /// A promotion that was ordered.
 pub struct Order {
     /// The group.
--- a/crates/world/src/member.rs
+++ b/crates/world/src/member.rs
@@ -74,7 +74,7 @@
         return;
     };
     let fields: Vec<&str> = hello.split(' ').collect();
-    let [_, service, who, rest @ ..] = &fields[..] else {
+    let [_, named, who, rest @ ..] = &fields[..] else {
         return;
     };
     let mut session = Session {
@@ -91,7 +91,7 @@
     let right = rest
         .first()
         .is_none_or(|id| **session.member.id.borrow() == **id);
-    if *service != &*session.group.name || !right {
+    if *named != &*session.group.name || !right {
         let text = "ERROR WRONGNODE no such member here\r\n";
         // The daemon may be gone; there is nobody else to tell.
         let _ = link.send(text.as_bytes()).await;
@@ -311,9 +311,9 @@
         let all = seen.iter().flat_map(|e| e.writes.iter()).chain(own);
         let last = all.rev().find(|(i, _)| &**i == item);
         let data = last.map_or("-", |(_, data)| data);
-        let signature = format!("{id}.{item}");
+        let echo = format!("{id}.{item}");
         Some(format!(
-            "ROW {item} {data}\r\nCOMPLETE {signature}\r\n{}",
+            "ROW {item} {data}\r\nCOMPLETE {echo}\r\n{}",
             self.ready()
         ))
     }
--- a/xtask/src/soak/client.rs
+++ b/xtask/src/soak/client.rs
@@ -46,7 +46,7 @@
 /// An answer.
 struct Answer {
     rows: Vec<String>,
-    /// Signature, or the error's code.
+    /// What it repeats of the statement, or the error's code.
     end: Result<String, String>,
 }
 
@@ -55,7 +55,7 @@
     group: usize,
     /// Index of the daemon, and the start of its process that the session belongs to.
     daemon: usize,
-    boot: u64,
+    launch: u64,
     /// Newest own counter that was acknowledged in this session.
     own: u64,
 }
@@ -119,12 +119,12 @@
 
     async fn connect(&mut self, group: usize, route: &str) -> Option<Session> {
         let daemon = self.rng.usize(..self.fleet.daemons.len());
-        let boot = self.fleet.daemons[daemon].boot.get();
+        let launch = self.fleet.daemons[daemon].launches.get();
         Some(Session {
             link: self.open(daemon, &format!("g{group}-{route}")).await?,
             group,
             daemon,
-            boot,
+            launch,
             own: 0,
         })
     }
@@ -149,7 +149,7 @@
     async fn look_at_version(&mut self) {
         let n = self.rng.usize(..self.fleet.daemons.len());
         let daemon = &self.fleet.daemons[n];
-        let (boot, before) = (daemon.boot.get(), daemon.version.get());
+        let (launch, before) = (daemon.launches.get(), daemon.version.get());
         let newest = self.world.version();
         let version = if self.rng.bool() {
             newest
@@ -157,7 +157,7 @@
             self.rng.u64(1..=newest)
         };
         let served = self.open(n, &format!("v{version}")).await.is_some();
-        if !served || daemon.boot.get() != boot {
+        if !served || daemon.launches.get() != launch {
             return;
         }
         if version < before {
@@ -171,7 +171,7 @@
     /// daemon's process was neither killed nor frozen.
     fn check_cut(&self, session: &Session, id: &str) {
         let daemon = &self.fleet.daemons[session.daemon];
-        let sound = daemon.boot.get() == session.boot && !daemon.hurt.get();
+        let sound = daemon.launches.get() == session.launch && !daemon.hurt.get();
         let handed = self.fleet.daemons.len() > UNHANDED;
         let heard = &self.world.groups[session.group].heard;
         if sound && !handed && !self.ledger.stop.get() && heard.borrow().contains(id) {
@@ -241,13 +241,13 @@
         Ok(())
     }
 
-    /// Checks that a row and its signature are those of the question; returns the counter read.
+    /// Checks that a row and its echo are those of the question; returns the counter read.
     fn check_row(&self, id: &str, item: &str, answer: &Answer) -> Result<u64, Ended> {
-        let signature = answer.end.clone().map_err(Ended::Code)?;
+        let echo = answer.end.clone().map_err(Ended::Code)?;
         let row = answer.rows.first().map_or("", String::as_str);
         let (name, data) = row.split_once(' ').unwrap_or(("", ""));
-        if signature != format!("{id}.{item}") || name != item {
-            let text = format!("MIXED: {id} asked for {item}, got {row:?} signed {signature}");
+        if echo != format!("{id}.{item}") || name != item {
+            let text = format!("MIXED: {id} asked for {item}, got {row:?} echoed as {echo}");
             self.ledger.fault(text);
         }
         Ok(data.parse().unwrap_or(0))
--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -23,7 +23,7 @@
     settings: String,
     process: RefCell<Option<Process>>,
     /// Grows with each start of the process.
-    pub boot: Cell<u64>,
+    pub launches: Cell<u64>,
     /// Whether the process was killed or frozen since its start.
     pub hurt: Cell<bool>,
     /// Newest configuration that it showed since its start.
@@ -93,7 +93,7 @@
                 ready,
                 settings: settings.display().to_string(),
                 process: RefCell::new(None),
-                boot: Cell::new(0),
+                launches: Cell::new(0),
                 hurt: Cell::new(false),
                 version: Cell::new(0),
             });
@@ -120,7 +120,7 @@
         let log = format!("{}-{}", self.seed, daemon.name);
         let process = self.spawner.daemon(&log, &args)?;
         daemon.process.replace(Some(process));
-        daemon.boot.set(daemon.boot.get() + 1);
+        daemon.launches.set(daemon.launches.get() + 1);
         daemon.hurt.set(false);
         daemon.version.set(0);
         Ok(())
