Refuse waiting statements by measured throughput

Cause: the wait was predicted once, on arrival, from this daemon's own connections, as if the members' slots were not shared with other daemons, and nothing looked again.

Change: throughput.rs measures admitted and served statements by class (those that only the primary can serve, reads that replicas can serve as well); queue::is_servable predicts from it on arrival and at each round of the health check. A statement past its target stays only if capacity is left for it. Waiting statements for a primary that has become unavailable are refused then. Control commands go first.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -102,7 +102,7 @@
     pub deadline: Ms,
     /// Identifier of the member that was chosen last; empty before the first attempt.
     pub member: RefCell<Box<str>>,
-    /// Time from arrival until the last attempt got its connection, in ms.
+    /// Time from arrival until the last attempt got its connection or was refused one, in ms.
     pub wait_ms: Cell<u64>,
     /// Role of the member that was chosen last, and the reason for the choice.
     pub read_labels: RefCell<Option<ReadLabels>>,
@@ -184,10 +184,11 @@
     ) -> Result<Conn, Reply> {
         let rank = self.rank(task.arrival);
         let avoid = attempts.excluded.clone();
-        let result = self.group.acquire(requirement, rank, avoid).await;
+        let is_new = self.retries.get() == 0;
+        let result = self.group.acquire(requirement, rank, avoid, is_new).await;
+        self.wait_ms.set(task.arrival.elapsed());
         if let Ok(conn) = &result {
             self.member.replace(conn.member.id.clone());
-            self.wait_ms.set(task.arrival.elapsed());
             self.read_labels
                 .replace(Some(self.labels_for(requirement, &conn.member)));
         }
@@ -243,13 +244,14 @@
         }
     }
 
-    /// Decides how to go on after a reply to a statement that named the position `after`: successes, and errors that a retry would repeat or that
-    /// make it unsafe, are returned; the others are retried until the deadline.
+    /// Decides how to go on after a reply of a member chosen by `requirement`: successes, and errors
+    /// that a retry would repeat or that make it unsafe, are returned; the others are retried until
+    /// the deadline.
     pub async fn after_reply(
         &self,
         task: &StatementTask<'_>,
         conn: &mut Conn,
-        after: Option<Pos>,
+        requirement: Requirement,
         reply: Reply,
         attempts: &mut Attempts,
     ) -> RetryDecision {
@@ -263,12 +265,14 @@
                 member
                     .full_until
                     .set(Ms::now().plus(FULL_MEMBER_BACKOFF_MS));
+                self.group.on_rejected(requirement);
                 if task.write {
                     sleep_ms(PRIMARY_BUSY_DELAY_MS).await;
                 }
             }
             ErrorKind::Behind => {
-                member.record_lag(after.unwrap_or(Pos::ZERO), reply.pos, Ms::now());
+                let wanted = self.named_position(requirement).unwrap_or(Pos::ZERO);
+                member.record_lag(wanted, reply.pos, Ms::now());
             }
             ErrorKind::NoStatement => conn.clear_prepared(),
             // The last probe result, which said that it was primary, is out of date.
@@ -401,7 +405,7 @@
                 cx.group.on_reply(&conn.member, sent_at, &reply);
                 conn.member.record_latency(sent_at.elapsed(), Ms::now());
                 let decision = cx
-                    .after_reply(task, &mut conn, after, reply, &mut attempts)
+                    .after_reply(task, &mut conn, requirement, reply, &mut attempts)
                     .await;
                 cx.group.release(conn);
                 decision
--- a/crates/proxy/src/group/conns.rs
+++ b/crates/proxy/src/group/conns.rs
@@ -222,7 +222,7 @@
             deadline: now.plus(CONTROL_CONN_WAIT_MS),
         };
         let conn = self
-            .acquire(Requirement::Member(member.key), rank, Vec::new())
+            .acquire(Requirement::Member(member.key), rank, Vec::new(), true)
             .await;
         conn.map_err(|_| ConnError::TimedOut)
     }
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -17,7 +17,7 @@
 };
 
 pub(crate) use wait_queue::Refusal;
-use wait_queue::Waiter;
+use wait_queue::{QueueStats, Waiter};
 
 /// Time without a lease from which statements for the primary are refused at once, in ms.
 const MAX_LEASE_WAIT_MS: u64 = 900;
@@ -62,6 +62,7 @@
     drain_ms: u64,
     pub(crate) codec: Codec,
     waiters: RefCell<Vec<Rc<Waiter>>>,
+    queue_stats: QueueStats,
     /// When this daemon learnt of the group.
     created_at: Ms,
     lease_state: RefCell<Lease>,
@@ -88,6 +89,7 @@
             drain_ms: settings.drain_ms,
             codec,
             waiters: RefCell::default(),
+            queue_stats: QueueStats::default(),
             created_at: Ms::now(),
             lease_state: RefCell::default(),
             had_lease: Cell::new(false),
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -1,6 +1,6 @@
 //! Wait queue of a group: statements that wait for a connection, and how connections are assigned.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,23 +8,65 @@
 
 use super::Group;
 use crate::routing::{Requirement, cost};
-use crate::{Conn, Member, Rank, predicted_wait};
+use crate::{Conn, Load, Member, Rank, Throughput, is_servable};
+
+/// Statements that compete for the same members.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Class {
+    /// Only the primary can serve them.
+    Primary,
+    /// Replicas can serve them as well.
+    Any,
+    /// Control commands of the daemon itself, which go first.
+    Control,
+}
+
+/// Throughput of the statements of a group.
+#[derive(Default)]
+pub(super) struct QueueStats {
+    primary: Cell<Throughput>,
+    any: Cell<Throughput>,
+}
+
+impl QueueStats {
+    fn update(&self, class: Class, update: impl Fn(&mut Throughput)) {
+        let cell = match class {
+            Class::Primary => &self.primary,
+            Class::Any => &self.any,
+            Class::Control => return,
+        };
+        let mut throughput = cell.get();
+        update(&mut throughput);
+        cell.set(throughput);
+    }
+
+    /// The load of a class; `None` for control commands.
+    fn load(&self, class: Class, now: Ms) -> Option<Load> {
+        match class {
+            Class::Primary => Some(self.primary.get().load(now)),
+            Class::Any => Some(self.any.get().load(now)),
+            Class::Control => None,
+        }
+    }
+}
 
 /// A statement that waits for a connection.
 pub(super) struct Waiter {
     rank: Rank,
     requirement: Requirement,
+    /// As of the arrival or the latest `refuse_hopeless`.
+    class: Cell<Class>,
     /// Members that have already failed to run the statement.
     excluded: Vec<Box<str>>,
-    /// Connection assigned by `dispatch`.
-    assigned: RefCell<Option<Conn>>,
+    /// Set by `dispatch` or `refuse_hopeless`.
+    result: RefCell<Option<Result<Conn, Refusal>>>,
     ready: Signal,
 }
 
 /// Why a statement got no connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
-    /// The predicted wait exceeds the deadline of the statement.
+    /// The statement is not expected to be served in time.
     Full,
     /// The deadline has passed.
     Late,
@@ -33,6 +75,25 @@
 }
 
 impl Group {
+    /// The class of a statement as long as the replicas are where they are.
+    fn class(&self, requirement: Requirement, now: Ms) -> Class {
+        let pos = match requirement {
+            Requirement::Primary(_) => return Class::Primary,
+            Requirement::Member(_) => return Class::Control,
+            Requirement::Contains(pos) => self.on_branch(pos),
+        };
+        let primary = self.primary();
+        let can_serve = |m: &Rc<Member>| {
+            let is_primary = primary.as_ref().is_some_and(|p| p.key == m.key);
+            !is_primary && m.is_serving() && m.is_expected_to_contain(pos, now)
+        };
+        if self.members.borrow().iter().any(can_serve) {
+            Class::Any
+        } else {
+            Class::Primary
+        }
+    }
+
     /// Whether a member may run a statement with this requirement now.
     pub(super) fn is_eligible(&self, member: &Member, requirement: Requirement, now: Ms) -> bool {
         match requirement {
@@ -51,7 +112,8 @@
     }
 
     /// Acquires a connection to an eligible member: an idle one, or else one that `dispatch`
-    /// assigns in the order of the wait queue.
+    /// assigns in the order of the wait queue. `is_new` is false for a statement that is tried
+    /// again.
     ///
     /// # Errors
     /// Why the statement gets no connection.
@@ -60,8 +122,14 @@
         requirement: Requirement,
         rank: Rank,
         excluded: Vec<Box<str>>,
+        is_new: bool,
     ) -> Result<Conn, Refusal> {
+        let class = self.class(requirement, Ms::now());
         if let Some(conn) = self.take_idle(requirement, &excluded).await {
+            self.queue_stats.update(class, |t| {
+                t.record_arrival(is_new, Ms::now());
+                t.record_service(Ms::now());
+            });
             return Ok(conn);
         }
         let now = Ms::now();
@@ -71,53 +139,108 @@
         if matches!(requirement, Requirement::Primary(_)) && self.is_primary_unavailable() {
             return Err(Refusal::NoPrimary);
         }
-        if self.estimated_wait(requirement, &rank, now)
-            > f64::from(u32::try_from(rank.deadline.left()).unwrap_or(u32::MAX))
-        {
+        if !self.is_servable(requirement, class, &rank, now) {
             return Err(Refusal::Full);
         }
         let waiter = Rc::new(Waiter {
             rank,
             requirement,
+            class: Cell::new(class),
             excluded,
-            assigned: RefCell::default(),
+            result: RefCell::default(),
             ready: Signal::default(),
         });
         self.waiters.borrow_mut().push(waiter.clone());
+        self.queue_stats
+            .update(class, |t| t.record_arrival(is_new, now));
+        self.update_busy(now);
         let _guard = WaiterGuard(self, waiter.clone());
         self.open_for(requirement);
         let seen = waiter.ready.generation();
         let wait = Duration::from_millis(rank.deadline.left());
         let _ = monoio::time::timeout(wait, waiter.ready.wait_past(seen)).await;
-        let assigned = waiter.assigned.borrow_mut().take();
-        assigned.ok_or(Refusal::Late)
+        let result = waiter.result.borrow_mut().take();
+        result.unwrap_or(Err(Refusal::Late))
+    }
+
+    /// Records that a member turned away a statement that had got a connection.
+    pub fn on_rejected(&self, requirement: Requirement) {
+        let now = Ms::now();
+        self.queue_stats
+            .update(self.class(requirement, now), |t| t.record_rejection(now));
     }
 
-    /// Predicted wait of a statement, in ms. Waiting reads that any member may serve count only for
-    /// other such reads.
-    fn estimated_wait(&self, requirement: Requirement, rank: &Rank, now: Ms) -> f64 {
+    /// Records for each class whether statements are waiting. Those for a primary that cannot be
+    /// used now say nothing about its capacity.
+    fn update_busy(&self, now: Ms) {
         let waiters = self.waiters.borrow();
-        let before = |w: &&Rc<Waiter>| w.rank.key(now) <= rank.key(now);
-        let competes = |w: &&Rc<Waiter>| {
-            !matches!(w.requirement, Requirement::Contains(_))
-                || matches!(requirement, Requirement::Contains(_))
+        let is_waiting = |class: Class| waiters.iter().any(|w| w.class.get() == class);
+        let has_primary = self.primary_until() > now;
+        let primary = has_primary && is_waiting(Class::Primary);
+        let any = is_waiting(Class::Any);
+        self.queue_stats
+            .update(Class::Primary, |t| t.set_busy(primary, now));
+        self.queue_stats
+            .update(Class::Any, |t| t.set_busy(any, now));
+    }
+
+    /// Whether a statement is expected to be served in time.
+    fn is_servable(&self, requirement: Requirement, class: Class, rank: &Rank, now: Ms) -> bool {
+        let key = rank.key(now);
+        let ahead = {
+            let waiters = self.waiters.borrow();
+            let competing = waiters.iter().filter(|w| w.class.get() == class);
+            competing.filter(|w| w.rank.key(now) < key).count()
         };
-        let ahead = waiters.iter().filter(before).filter(competes).count();
-        let members = self.members.borrow();
-        let is_expected = |m: &&Rc<Member>| match requirement {
-            Requirement::Contains(pos) => m.is_expected_to_contain(self.on_branch(pos), now),
-            Requirement::Primary(_) | Requirement::Member(_) => true,
+        let Some(load) = self.queue_stats.load(class, now) else {
+            return true;
         };
+        is_servable(rank, ahead, load, self.service_ms(requirement, now), now)
+    }
+
+    /// Mean latency of the fastest eligible member, in ms; 0 if there is none.
+    fn service_ms(&self, requirement: Requirement, now: Ms) -> f64 {
+        let members = self.members.borrow();
         let eligible = members
             .iter()
             .filter(|m| self.is_eligible(m, requirement, now));
-        let eligible = eligible.filter(is_expected);
-        let (mut conns, mut service_ms) = (0, 0.0_f64);
-        for member in eligible {
-            conns += member.open_conns.get();
-            service_ms = service_ms.max(member.mean_latency(now));
+        let latencies = eligible.map(|m| m.mean_latency(now));
+        latencies.min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
+    /// Refuses the waiting statements that are not expected to be served in time any more.
+    pub fn refuse_hopeless(&self) {
+        if self.waiters.borrow().is_empty() {
+            return;
+        }
+        let now = Ms::now();
+        self.update_busy(now);
+        let unavailable = self.is_primary_unavailable();
+        let waiters = self.waiters.borrow().clone();
+        for waiter in &waiters {
+            waiter.class.set(self.class(waiter.requirement, now));
+        }
+        for waiter in waiters {
+            let class = waiter.class.get();
+            let needs_primary = matches!(waiter.requirement, Requirement::Primary(_));
+            let refusal = if needs_primary && unavailable {
+                Refusal::NoPrimary
+            } else if self.is_servable(waiter.requirement, class, &waiter.rank, now) {
+                continue;
+            } else {
+                Refusal::Full
+            };
+            self.queue_stats.update(class, |t| t.record_departure(now));
+            self.settle(&waiter, Err(refusal));
         }
-        predicted_wait(ahead, conns, service_ms)
+        self.update_busy(now);
+    }
+
+    /// Takes a waiter out of the queue with its result.
+    fn settle(&self, waiter: &Rc<Waiter>, result: Result<Conn, Refusal>) {
+        waiter.result.replace(Some(result));
+        self.waiters.borrow_mut().retain(|w| !Rc::ptr_eq(w, waiter));
+        waiter.ready.notify();
     }
 
     /// Takes an idle connection to the cheapest eligible member.
@@ -159,17 +282,18 @@
         self.dispatch();
     }
 
-    /// Assigns idle connections to waiters, in the order of their rank.
+    /// Assigns idle connections to waiters: to control commands first, since the lease depends on
+    /// them, then in the order of their rank.
     pub fn dispatch(&self) {
         if self.waiters.borrow().is_empty() {
             return;
         }
         let now = Ms::now();
         let mut order = self.waiters.borrow().clone();
-        order.sort_by_key(|w| w.rank.key(now));
+        order.sort_by_key(|w| (w.class.get() != Class::Control, w.rank.key(now)));
         let members = self.members.borrow().clone();
         for waiter in order {
-            if waiter.assigned.borrow().is_some() {
+            if waiter.result.borrow().is_some() {
                 continue;
             }
             let eligible = members.iter().filter(|m| {
@@ -181,12 +305,14 @@
                 cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
             });
             let Some(best) = best else { continue };
-            *waiter.assigned.borrow_mut() = pop_idle(best, waiter.requirement);
-            self.waiters
-                .borrow_mut()
-                .retain(|w| !Rc::ptr_eq(w, &waiter));
-            waiter.ready.notify();
+            let Some(conn) = pop_idle(best, waiter.requirement) else {
+                continue;
+            };
+            self.queue_stats
+                .update(waiter.class.get(), |t| t.record_service(now));
+            self.settle(&waiter, Ok(conn));
         }
+        self.update_busy(now);
     }
 
     /// Number of waiting statements.
@@ -221,7 +347,7 @@
             .waiters
             .borrow_mut()
             .retain(|w| !Rc::ptr_eq(w, waiter));
-        if let Some(conn) = waiter.assigned.borrow_mut().take() {
+        if let Some(Ok(conn)) = waiter.result.borrow_mut().take() {
             self.0.release(conn);
         }
     }
--- a/crates/proxy/src/health_check.rs
+++ b/crates/proxy/src/health_check.rs
@@ -21,6 +21,7 @@
     loop {
         sleep_ms(CHECK_INTERVAL_MS).await;
         group.trim();
+        group.refuse_hopeless();
         if !group.is_served() {
             group.close_idle();
             continue;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! Serves callers' sessions from groups of replicated databases.
 //!
 //! The decision modules (`lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
-//! `lag_backoff`, `ownership`) do no I/O: they compute results from the state and the instant that they are given,
+//! `lag_backoff`, `ownership`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
 //! and are called by the code that uses sockets. The crate depends on no wire protocol and on no
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
@@ -28,6 +28,7 @@
 mod state;
 mod statement;
 mod stats;
+mod throughput;
 mod transaction;
 pub mod tunnel;
 
@@ -43,9 +44,10 @@
 pub use member::{Member, MemberKey};
 pub use member_record::MemberRecord;
 pub use ownership::{Candidate, owners};
-pub use queue::{Rank, predicted_wait};
+pub use queue::{Rank, is_servable};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
 pub use schema::{Config, Freshness, GroupRule, Route};
 pub use state::{AsyncCall, FailoverApi, FencingToken, Promotion, Proxy, Settings};
 pub use statement::{PreparedStatement, Request, Statement, Verb};
 pub use stats::{Outcome, ReadLabels, StatementLabels, Stats};
+pub use throughput::{Load, Throughput};
--- a/crates/proxy/src/queue.rs
+++ b/crates/proxy/src/queue.rs
@@ -1,11 +1,15 @@
-//! Order of statements in the wait queue, and the predicted wait by which statements that would
-//! miss their deadline are refused early.
+//! Order of statements in the wait queue, and the predicted wait by which statements that cannot be
+//! served in time are refused early.
 //!
 //! Both matter when the slots of the members limit the throughput: in bursts, with replicas that
-//! lag too far to serve reads, and after the loss of a primary.
+//! lag too far to serve reads, and after the loss of a primary. When more arrives than can be
+//! served, newer statements pass by those that have missed their target, which would then wait
+//! until their deadline for nothing.
 
 use base::Ms;
 
+use crate::Load;
+
 /// Sort criteria of a waiting statement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Rank {
@@ -34,14 +38,20 @@
     }
 }
 
-/// Expected wait in ms of a statement behind `ahead` others, on `conns` connections that each
-/// finish a statement in `service_ms`; 0 without connections.
-pub fn predicted_wait(ahead: usize, conns: u64, service_ms: f64) -> f64 {
-    if conns == 0 {
-        return 0.0;
+/// Whether a statement can be served in time behind `ahead` others: within its target, or, if what is
+/// offered leaves capacity for statements past their target, within its deadline. `service_ms` is
+/// the time that it takes once it has a connection.
+pub fn is_servable(rank: &Rank, ahead: usize, load: Load, service_ms: f64, now: Ms) -> bool {
+    let Some(capacity) = load.capacity else {
+        return true;
+    };
+    let queue = to_f64(ahead as u64) + 1.0;
+    let left_until = |at: Ms| to_f64(at.0.saturating_sub(now.0)) - service_ms;
+    if queue / capacity <= left_until(rank.target) {
+        return true;
     }
-    let (ahead, conns) = (to_f64(ahead as u64), to_f64(conns));
-    ahead * service_ms / conns
+    let spare = capacity - load.offered;
+    spare > 0.0 && queue / spare <= left_until(rank.deadline)
 }
 
 fn to_f64(n: u64) -> f64 {
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -6,6 +6,7 @@
 use schema::Pos;
 
 use crate::exec::{Attempts, RetryDecision, StatementContext, StatementTask, remove_pending_write};
+use crate::routing::Requirement;
 use crate::session::SessionVars;
 use crate::{Command, Conn, ConnError, ErrorKind, Group, Reply, TxState};
 
@@ -88,8 +89,9 @@
             self.wrote |= task.write;
             match task.send(&mut conn, None, cx.deadline.left()).await {
                 Ok(reply) if reply.error_kind().is_some_and(ErrorKind::is_not_run) => {
+                    let requirement = Requirement::Member(conn.member.key);
                     let decision = cx
-                        .after_reply(task, &mut conn, None, reply, &mut attempts)
+                        .after_reply(task, &mut conn, requirement, reply, &mut attempts)
                         .await;
                     roll_back_conn(cx.group, conn, None).await;
                     match decision {
@@ -137,7 +139,7 @@
             Ok(reply) if reply.error_kind().is_none() => Ok(conn),
             Ok(reply) => {
                 let decision = cx
-                    .after_reply(task, &mut conn, after, reply, attempts)
+                    .after_reply(task, &mut conn, requirement, reply, attempts)
                     .await;
                 roll_back_conn(cx.group, conn, None).await;
                 Err(decision)
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -3,8 +3,8 @@
 use base::Ms;
 use property::check_property;
 use proxy::{
-    FailoverCause, History, LagBackoff, Lease, Member, MemberKey, MemberRecord, PrimaryHealth,
-    ProbeResult, Rank, Role, detect_failure, predicted_wait, renewal_interval_ms,
+    FailoverCause, History, LagBackoff, Lease, Load, Member, MemberKey, MemberRecord,
+    PrimaryHealth, ProbeResult, Rank, Role, detect_failure, is_servable, renewal_interval_ms,
 };
 use quickcheck::TestResult;
 use schema::Pos;
@@ -277,9 +277,27 @@
 
 /// Guards against queueing statements whose wait would exceed their deadline.
 #[test]
-fn the_predicted_wait_grows_with_the_queue() {
-    assert!(predicted_wait(0, 2, 14.0).abs() < f64::EPSILON);
-    assert!((predicted_wait(10, 2, 14.0) - 70.0).abs() < f64::EPSILON);
+fn a_statement_is_servable_while_the_queue_ahead_fits_into_its_time() {
+    // A statement gets a connection every 7 ms, and takes 14 ms then; half of the capacity is
+    // offered, so that a statement past its target waits twice as long.
+    let load = Load {
+        capacity: Some(1.0 / 7.0),
+        offered: 0.5 / 7.0,
+    };
+    let is_servable = |ahead, target| is_servable(&rank(1, target), ahead, load, 14.0, Ms(0));
+    assert!(is_servable(0, 21) && is_servable(10, 91));
+    // `rank` puts the deadline 1,000 ms after the target.
+    assert!(is_servable(69, 10) && !is_servable(71, 10));
+    let unknown = Load {
+        capacity: None,
+        ..load
+    };
+    assert!(proxy::is_servable(&rank(1, 10), 1000, unknown, 14.0, Ms(0)));
+    let saturated = Load {
+        offered: 1.0 / 7.0,
+        ..load
+    };
+    assert!(!proxy::is_servable(&rank(1, 10), 0, saturated, 14.0, Ms(0)));
 }
 
 /// Number of requests to a replica whose log does not grow for `ms`, while a read is always
