--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -106,7 +106,9 @@
         from: &str,
         timeout_ms: u64,
     ) -> Result<Conn, ConnError> {
-        let link = tunnel::open(peers, member.addr).await?;
+        let link = tunnel::open(peers, member.addr)
+            .await
+            .map_err(|e| ConnError::Io(std::io::Error::other(e.to_string())))?;
         Conn::handshake(member, link, codec, from, timeout_ms).await
     }
 
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -35,6 +35,8 @@
     /// `None` with `Failed` means that it was aborted.
     tx: Option<Transaction>,
     tx_state: TxState,
+    /// Whether the failed transaction may have been committed by the member.
+    tx_in_doubt: bool,
 }
 
 /// What a session waits for between two statements.
@@ -78,6 +80,7 @@
             last_pos: None,
             tx: None,
             tx_state: TxState::Idle,
+            tx_in_doubt: false,
         }
     }
 
@@ -238,6 +241,7 @@
                 }
                 self.tx = Some(Transaction::new(*read_only, arrival, &statement.id));
                 self.tx_state = TxState::Open;
+                self.tx_in_doubt = false;
                 self.with_session_state(Reply::ok())
             }
             Verb::Set { name } => {
@@ -291,7 +295,14 @@
     async fn commit(&mut self, proxy: &Rc<Proxy>, statement: &Statement, arrival: Ms) -> Reply {
         let failed = self.tx_state == TxState::Failed;
         self.tx_state = TxState::Idle;
+        let in_doubt = std::mem::take(&mut self.tx_in_doubt);
         let Some(tx) = self.tx.take().filter(|_| !failed) else {
+            if in_doubt {
+                return self.with_session_state(Reply::error(
+                    ErrorKind::InDoubt,
+                    "the outcome is unknown",
+                ));
+            }
             return self.with_session_state(Reply::error(ErrorKind::Aborted, "nothing is kept"));
         };
         let Some((route, group)) = proxy.route(&self.database) else {
@@ -322,6 +333,7 @@
         proxy.record_outcome(&cx, &task, &reply);
         if self.tx.is_some() && reply.error_kind().is_some() {
             self.tx = None;
+            self.tx_in_doubt = reply.error_kind() == Some(ErrorKind::InDoubt);
             self.tx_state = TxState::Failed;
         }
         self.record_position(&reply, task.write && self.tx.is_none());
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -67,7 +67,7 @@
         };
         cx.group.on_reply(&conn.member, sent_at, &reply);
         conn.member.record_latency(sent_at.elapsed(), Ms::now());
-        self.close_unless_open(cx.group, reply).await
+        self.close_unless_open(cx, reply).await
     }
 
     /// Opens the transaction at a member and runs its first statement; retries, possibly on another
@@ -103,7 +103,7 @@
                     cx.group.on_reply(&conn.member, sent_at, &reply);
                     conn.member.record_latency(sent_at.elapsed(), Ms::now());
                     self.conn = Some(conn);
-                    return self.close_unless_open(cx.group, reply).await;
+                    return self.close_unless_open(cx, reply).await;
                 }
                 Err(e) => {
                     let member = conn.member.clone();
@@ -158,14 +158,22 @@
         }
     }
 
-    /// Rolls the transaction back unless the statement succeeded and left it open.
-    async fn close_unless_open(&mut self, group: &Rc<Group>, reply: Reply) -> Reply {
-        if reply.error_kind().is_none() && reply.state == TxState::Open {
+    /// Rolls the transaction back unless the statement succeeded and left it open. A success that
+    /// did not leave it open is an error: the member has ended the transaction, so later statements
+    /// would run without the earlier ones.
+    async fn close_unless_open(&mut self, cx: &StatementContext<'_>, reply: Reply) -> Reply {
+        let succeeded = reply.error_kind().is_none();
+        if succeeded && reply.state == TxState::Open {
             return reply;
         }
         if let Some(conn) = self.conn.take() {
-            roll_back_conn(group, conn, None).await;
+            roll_back_conn(cx.group, conn, None).await;
         }
+        let reply = match (succeeded, self.wrote) {
+            (false, _) => reply,
+            (true, false) => aborted("the member ended the transaction"),
+            (true, true) => Reply::error(ErrorKind::InDoubt, "the outcome is unknown"),
+        };
         Reply {
             state: TxState::Failed,
             ..reply
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -21,6 +21,7 @@
 use link::BufferedStream;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable, copy};
 use monoio::net::{TcpListener, TcpStream};
+use quick_error::quick_error;
 
 use crate::state::sleep_ms;
 use crate::{Proxy, config_push, handshake};
@@ -138,10 +139,10 @@
 ///
 /// # Errors
 /// The error of the last attempt when every daemon fails, `NotFound` when `peers` is empty.
-pub async fn open(peers: &[Peer], member: SocketAddr) -> io::Result<BufferedStream> {
-    let mut last_error = io::ErrorKind::NotFound.into();
+pub(crate) async fn open(peers: &[Peer], member: SocketAddr) -> Result<BufferedStream, PeerError> {
+    let mut last_error = io::Error::from(io::ErrorKind::NotFound).into();
     for peer in peers {
-        match with_peer_timeout(connect_to_peer(peer.addr, &member.to_string())).await {
+        match connect_to_peer(peer.addr, &member.to_string()).await {
             Ok(link) => return Ok(link),
             Err(e) => last_error = e,
         }
@@ -149,22 +150,39 @@
     Err(last_error)
 }
 
+quick_error! {
+    /// Why a daemon opened no connection for a target.
+    #[derive(Debug)]
+    pub enum PeerError {
+        Io(e: io::Error) { from() display("{e}") }
+        /// The daemon answered that it does not serve this target.
+        Refused { display("refused by the daemon") }
+    }
+}
+
 /// Opens a connection to a daemon for a target, with HTTP `CONNECT`.
 ///
 /// # Errors
-/// `HostUnreachable` when the daemon refuses, `InvalidData` when the response head is too long or
-/// cut off, otherwise the error of the connection, which may be `HostUnreachable` too.
-async fn connect_to_peer(peer: SocketAddr, target: &str) -> io::Result<BufferedStream> {
+/// `PeerError::Refused` when the daemon refuses; `PeerError::Io` with `InvalidData` when the
+/// response head is too long or cut off, with `TimedOut` when it does not arrive in time, otherwise
+/// with the error of the connection.
+async fn connect_to_peer(peer: SocketAddr, target: &str) -> Result<BufferedStream, PeerError> {
+    let timeout = Duration::from_millis(PEER_IO_TIMEOUT_MS);
+    let result = monoio::time::timeout(timeout, request_target(peer, target)).await;
+    result.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
+}
+
+async fn request_target(peer: SocketAddr, target: &str) -> Result<BufferedStream, PeerError> {
     let mut link = BufferedStream::new(TcpStream::connect_addr(peer).await?)?;
     let head = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
     link.send(head.as_bytes()).await?;
     while !link.input.ends_with(HEAD_END) {
         if link.input.len() > MAX_HEAD_BYTES || link.read_more().await? == 0 {
-            return Err(io::ErrorKind::InvalidData.into());
+            return Err(io::Error::from(io::ErrorKind::InvalidData).into());
         }
     }
     if !link.input.starts_with(b"HTTP/1.1 200") {
-        return Err(io::ErrorKind::HostUnreachable.into());
+        return Err(PeerError::Refused);
     }
     link.input.clear();
     Ok(link)
@@ -189,7 +207,7 @@
         // Counted before the attempt, so that a configuration that comes into force meanwhile is
         // pushed to this peer too.
         proxy.peers.add_handed_off(peer.addr);
-        let owner = with_peer_timeout(connect_to_peer(peer.addr, &target)).await;
+        let owner = connect_to_peer(peer.addr, &target).await;
         let accepted = owner.is_ok();
         if let Ok(mut owner) = owner {
             // The error is dropped: both connections are closed, and a byte stream has no room for
@@ -207,18 +225,13 @@
 /// Pushes a configuration to a daemon, which accepts it only if its own is older.
 ///
 /// # Errors
-/// Connection errors and timeouts. A refusal is no error; neither is `HostUnreachable` from the
-/// network, which cannot be told from a refusal.
+/// Connection errors and timeouts; a refusal is no error.
 pub(crate) async fn push_config(peer: &Peer, version: u64, bytes: &[u8]) -> io::Result<()> {
-    let mut link = match with_peer_timeout(connect_to_peer(
-        peer.addr,
-        &format!("{CONFIG_PREFIX}{version}"),
-    ))
-    .await
-    {
+    let target = format!("{CONFIG_PREFIX}{version}");
+    let mut link = match connect_to_peer(peer.addr, &target).await {
         Ok(link) => link,
-        Err(e) if e.kind() == io::ErrorKind::HostUnreachable => return Ok(()),
-        Err(e) => return Err(e),
+        Err(PeerError::Refused) => return Ok(()),
+        Err(PeerError::Io(e)) => return Err(e),
     };
     with_peer_timeout(async {
         link.send(bytes).await?;
@@ -277,7 +290,7 @@
         let target = format!("{STOP_PREFIX}{vm}");
         monoio::spawn(async move {
             for _ in 0..MAX_STOP_ATTEMPTS {
-                match with_peer_timeout(connect_to_peer(peer.addr, &target)).await {
+                match connect_to_peer(peer.addr, &target).await {
                     Ok(_) => return,
                     Err(e) => emit(Event::TunnelFailed, &[("peer", &peer.name), ("cause", &e)]),
                 }
