Refused settings stop a batch; "not run" stays true after an unknown outcome; groups keep their watch

Price: one round trip more when a connection changes sessions with different settings. - A repeatable write whose first attempt had an unknown outcome could end with a reason whose text says that it has not run, or with the "not run" of a later attempt. Partial: the path through run_on_primary itself has no test. - Tasks that watch a member held the group of the configuration they were started under, and ended when it changed. They look the group up by name.

--- a/crates/daemon/src/cluster.rs
+++ b/crates/daemon/src/cluster.rs
@@ -263,23 +263,27 @@
     }
 }
 
-/// Weak reference to a member and its group, so that a task can notice the removal of either.
+/// Weak reference to a member, so that a task can notice its removal.
 #[derive(Clone)]
 pub struct MemberHandle {
-    group: Weak<GroupState>,
+    /// Name of the group: a changed configuration replaces the group and keeps the member.
+    group: Box<str>,
     member: Weak<MemberState>,
 }
 
 impl MemberHandle {
-    pub fn new(group: &Rc<GroupState>, member: &Rc<MemberState>) -> MemberHandle {
+    pub fn new(group: &GroupState, member: &Rc<MemberState>) -> MemberHandle {
         MemberHandle {
-            group: Rc::downgrade(group),
+            group: group.name.clone(),
             member: Rc::downgrade(member),
         }
     }
 
-    /// Returns the group and the member while both exist.
-    pub fn upgrade(&self) -> Option<(Rc<GroupState>, Rc<MemberState>)> {
-        Some((self.group.upgrade()?, self.member.upgrade()?))
+    /// Returns the member and its present group while the group contains it.
+    pub fn upgrade(&self, daemon: &Daemon) -> Option<(Rc<GroupState>, Rc<MemberState>)> {
+        let member = self.member.upgrade()?;
+        let group = daemon.group(&self.group)?;
+        let is_member = group.members.iter().any(|m| Rc::ptr_eq(m, &member));
+        is_member.then_some((group, member))
     }
 }
--- a/crates/daemon/src/frontend/write.rs
+++ b/crates/daemon/src/frontend/write.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::{Metric, Ms};
-use schema::{Outcome, Reason, RunRequest};
+use schema::{Outcome, Reason, RunRequest, reason_after_unknown};
 
 use crate::cluster::GroupState;
 use crate::frontend::call::AttemptResult;
@@ -26,21 +26,29 @@
     ) -> AttemptResult {
         let started_at = Ms::now();
         let mut last_reason = Reason::NoPrimary;
+        let mut may_have_run = false;
         loop {
             let found = match group.primary() {
                 Some(found) => Some(found),
                 None => self.find_primary(group, deadline).await,
             };
             if let Some((term, name)) = found {
+                let primary = (term, &*name);
                 match self
-                    .try_primary(group, plan, &run, (term, &name), deadline)
+                    .try_primary(group, plan, &run, primary, deadline, &mut may_have_run)
                     .await
                 {
+                    Ok(result) if may_have_run && result.answer.outcome == Outcome::NotRun => {
+                        last_reason = result.answer.why;
+                    }
                     Ok(result) => return result,
                     Err(reason) => last_reason = reason,
                 }
             }
             if deadline.left() == 0 || !self.may_wait(group, started_at) {
+                if may_have_run {
+                    last_reason = reason_after_unknown(last_reason);
+                }
                 return AttemptResult {
                     answer: refusal(run.id, last_reason, 0),
                     transaction: None,
@@ -61,7 +69,7 @@
     }
 
     /// Tries the owners of the primary in turn; after an unknown outcome, only if the request may
-    /// be repeated and the retry budget permits it.
+    /// be repeated and the retry budget permits it. `may_have_run` is set after an unknown outcome.
     ///
     /// # Errors
     /// The reason of the last refusal, `NoHome` if the last attempt had an unknown outcome and may
@@ -74,6 +82,7 @@
         run: &RunRequest,
         primary: (u64, &str),
         deadline: Ms,
+        may_have_run: &mut bool,
     ) -> Result<AttemptResult, Reason> {
         let (term, name) = primary;
         let Some(member) = group.member(name) else {
@@ -116,6 +125,7 @@
                         && self.stats.may_retry(&run.group, &self.settings) =>
                 {
                     self.stats.count(Metric::Retries);
+                    *may_have_run = true;
                     last_reason = Reason::NoHome;
                 }
                 _ => return Ok(result),
--- a/crates/daemon/src/upstream/probe.rs
+++ b/crates/daemon/src/upstream/probe.rs
@@ -86,7 +86,7 @@
 async fn serve_report_requests(daemon: Rc<Daemon>, handle: MemberHandle) {
     let mut conn: Option<Upstream> = None;
     loop {
-        let Some((group, member)) = handle.upgrade() else {
+        let Some((group, member)) = handle.upgrade(&daemon) else {
             return;
         };
         let probe = &member.probe;
@@ -154,7 +154,7 @@
     let timing = daemon.settings.timing.clone();
     let mut report_now = true;
     while alive.strong_count() > 0 {
-        let Some((group, member)) = handle.upgrade() else {
+        let Some((group, member)) = handle.upgrade(&daemon) else {
             return;
         };
         let wait_ms = if report_now { 0 } else { timing.heartbeat_ms };
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -280,22 +280,11 @@
     /// # Errors
     /// After any error the batch may have run, and the connection must be dropped.
     pub async fn run(&mut self, job: &BatchJob<'_>) -> Result<BatchResult, UpstreamError> {
+        self.apply_settings(job.vars).await?;
         let mut out = BytesMut::new();
-        let deallocate = self.status == b'I' && self.prepared.len() > MAX_PREPARED_STATEMENTS;
-        let reset = deallocate || self.vars != job.vars;
-        if reset {
-            frontend::query(&settings_sql(job.vars, deallocate), &mut out)?;
-        }
-        if deallocate {
-            self.prepared.clear();
-        }
         let mut collector = encode_batch(job.batch, &self.prepared, job.max_answer_bytes, &mut out);
         frontend::query(job.barrier, &mut out)?;
         self.stream.send(&out).await?;
-        if reset {
-            while self.read_frame().await?.tag != b'Z' {}
-            self.vars = job.vars.to_vec();
-        }
         self.status = loop {
             let frame = self.read_frame().await?;
             match collector.take(&frame) {
@@ -320,6 +309,25 @@
         })
     }
 
+    /// Puts the settings of the caller's session in force, before anything else is sent: behind a
+    /// setting that was refused, a statement would run with those of another session.
+    ///
+    /// # Errors
+    /// `Refused` when the upstream refuses a setting.
+    async fn apply_settings(&mut self, vars: &[Var]) -> Result<(), UpstreamError> {
+        let deallocate = self.status == b'I' && self.prepared.len() > MAX_PREPARED_STATEMENTS;
+        // In a failed transaction the upstream refuses settings, and every statement but its end.
+        if self.status == b'E' || (!deallocate && self.vars == vars) {
+            return Ok(());
+        }
+        if deallocate {
+            self.prepared.clear();
+        }
+        self.query_row(&settings_sql(vars, deallocate)).await?;
+        self.vars = vars.to_vec();
+        Ok(())
+    }
+
     /// Reads the barrier's answer; `None` when it was refused because the batch's transaction has
     /// failed.
     ///
--- a/crates/schema/src/answer.rs
+++ b/crates/schema/src/answer.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// The reason to report for a request that ended with `reason`, if an earlier attempt at it may have
+/// run: none that says that the request was not run.
+pub const fn reason_after_unknown(reason: Reason) -> Reason {
+    match error_reply(reason).outcome {
+        Outcome::NotRun => Reason::LostLink,
+        Outcome::Done | Outcome::Unknown => reason,
+    }
+}
+
 /// Returns the error that a caller gets for a reason; `Reason::None` gives the entry for success.
 #[allow(clippy::too_many_lines)]
 pub const fn error_reply(reason: Reason) -> ErrorReply {
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -13,7 +13,7 @@
 mod pos;
 mod window;
 
-pub use answer::{ErrorReply, error_reply};
+pub use answer::{ErrorReply, error_reply, reason_after_unknown};
 pub use check::ValidationError;
 pub use generated::messages::*;
 pub use generated::objects::*;
--- a/xtask/src/prove/cases.rs
+++ b/xtask/src/prove/cases.rs
@@ -57,6 +57,12 @@
             "platform outage and kill of the primary",
             primary::platform_down
         ),
+        case!(
+            "reconfigured-group",
+            "service resumes",
+            "change of the group's settings, then kill of the primary",
+            primary::reconfigured_group
+        ),
         case!(
             "lagging-replica",
             "a lagging replica is not promoted",
--- a/xtask/src/prove/configuration.rs
+++ b/xtask/src/prove/configuration.rs
@@ -107,6 +107,23 @@
     }
 }
 
+/// Submits a patch of version `version` at a daemon and waits until it is in force everywhere.
+pub(super) async fn patch(
+    cluster: &Cluster,
+    version: u64,
+    id: &str,
+    text: &str,
+) -> Result<(), String> {
+    let daemons = cluster.daemon_names();
+    let child = spawn_patch(cluster, &daemons[0], version, id, text)?;
+    let (code, value) = patch_result(child)?;
+    if code != 0 {
+        return Err(format!("the patch exited with {code}: {value}"));
+    }
+    wait_in_force(cluster, version + 1, daemons.len()).await?;
+    Ok(())
+}
+
 /// Guards against concurrent patches of which more than one is accepted, or of which a rejected one
 /// does not exit with the code of a conflict.
 ///
--- a/xtask/src/prove/primary.rs
+++ b/xtask/src/prove/primary.rs
@@ -7,8 +7,8 @@
 
 use crate::cluster::ClusterConfig;
 use crate::load::{Caller, Outcome};
-use crate::prove::CaseContext;
 use crate::prove::harness::{CaseReport, Harness, is_not_run, millis, sleep_ms};
+use crate::prove::{CaseContext, configuration};
 
 /// Maximum time without an acknowledged write during a primary change; the project's target.
 const MAX_FAILOVER_MS: u128 = 6000;
@@ -193,6 +193,24 @@
     finish_when_served(&mut harness, failed_at).await
 }
 
+/// Guards against a group whose members are no longer watched after its settings have changed.
+///
+/// Every group gets other slots before the primary is killed.
+pub async fn reconfigured_group(ctx: CaseContext) -> Result<CaseReport, String> {
+    let ctx = CaseContext {
+        naive: false,
+        ..ctx
+    };
+    let mut harness = start_under_load(ctx, ClusterConfig::default()).await?;
+    let text = json!([{ "op": "replace", "path": "/groups/0/slots", "value": 5 }]).to_string();
+    configuration::patch(&harness.cluster, 1, "slots", &text).await?;
+    sleep_ms(1000).await;
+    let failed_at = Instant::now();
+    let primary = harness.initial_primary();
+    harness.cluster.kill(&primary);
+    finish_when_served(&mut harness, failed_at).await
+}
+
 /// Guards against the promotion of a replica that lacks acknowledged writes.
 ///
 /// One replica lags by 1.5 s when the primary is killed.
