--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -37,8 +37,9 @@
 const REGRESSION_SEEDS: [(u64, &str); 0] = [];
 /// Number of database groups.
 const GROUP_COUNT: usize = 2;
-/// Delay from a promotion order to its effect.
-const PROMOTION_DELAY_MS: u64 = 1000;
+/// Delays from a promotion order to its effect; each seed takes one in turn, since the daemons may
+/// not rely on any of them.
+const PROMOTION_DELAYS_MS: [u64; 6] = [0, 100, 300, 600, 1000, 3000];
 /// Number of callers.
 const CALLER_COUNT: usize = 24;
 /// Time after the end of `faults::heal` within which service must recover.
@@ -97,7 +98,8 @@
     seed: u64,
     options: &Options,
 ) -> Result<String, String> {
-    let world = World::start(GROUP_COUNT, PROMOTION_DELAY_MS);
+    let delay = PROMOTION_DELAYS_MS[usize::try_from(seed % 6).expect("below 6")];
+    let world = World::start(GROUP_COUNT, delay);
     let fleet = Fleet::start(&world, spawner, seed, options.daemons)?;
     if let Err(text) = fleet.wait_ready(Ms::now().plus(READY_TIMEOUT_MS)).await {
         fleet.kill_all();
