--- a/crates/group/src/evidence.rs
+++ b/crates/group/src/evidence.rs
@@ -18,7 +18,9 @@
 /// Time without contact to the primary after which a replica counts as having lost it, in ms.
 #[derive(Clone, Copy, Debug)]
 pub struct FailureThresholds {
-    /// Threshold that applies if no primary answers and any member refuses connections.
+    /// Threshold that applies if no primary answers and any member refuses connections. In a group
+    /// of three that member is the primary whenever a change follows: the change needs reports of
+    /// two members that have lost it, and the third one refused.
     pub refused_ms: u64,
     /// Threshold that applies if no primary answers and no member refuses connections.
     pub silent_ms: u64,
--- a/crates/group/tests/rules.rs
+++ b/crates/group/tests/rules.rs
@@ -115,6 +115,35 @@
     );
 }
 
+/// The short threshold for a refusing primary must not follow from a replica that refuses: in a group
+/// of three, both other members have then lost the primary.
+#[test]
+fn only_the_refusal_of_the_primary_shortens_the_threshold() {
+    let replica_silent_for = |ms| ProbeOutcome::Report(report(1, false, (1, 5), ms));
+    let outcomes = [
+        ProbeOutcome::Refused,
+        ProbeOutcome::NoResponse,
+        ProbeOutcome::Report(report(1, true, (1, 5), 0)),
+        replica_silent_for(10),
+        replica_silent_for(130),
+    ];
+    let mut changes = 0;
+    for a in &outcomes {
+        for b in &outcomes {
+            for c in &outcomes {
+                let probes = [a.clone(), b.clone(), c.clone()];
+                let decision = evaluate(&probes, THRESHOLDS);
+                if decision == Decision::Change("the primary refuses connections") {
+                    let lost = probes.iter().filter(|p| **p == outcomes[4]).count();
+                    assert_eq!(lost, 2, "{probes:?}");
+                    changes += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(changes, 3);
+}
+
 /// A write that is acknowledged on a report of another term can be overwritten by a later primary.
 #[test]
 fn confirmation_counts_only_reports_of_the_writes_term() {
