--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -108,7 +108,7 @@
     ) -> Result<Conn, ConnError> {
         let link = tunnel::open(peers, member.addr)
             .await
-            .map_err(|e| ConnError::Io(std::io::Error::other(e.to_string())))?;
+            .map_err(std::io::Error::from)?;
         Conn::handshake(member, link, codec, from, timeout_ms).await
     }
 
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -1,6 +1,7 @@
 //! A group: its members, the lease on its primary, and its wait queue.
 
 mod conns;
+mod queue_stats;
 mod wait_queue;
 
 use std::cell::{Cell, RefCell};
@@ -16,8 +17,9 @@
     Settings, Status,
 };
 
+use queue_stats::QueueStats;
 pub(crate) use wait_queue::Refusal;
-use wait_queue::{QueueStats, Waiter};
+use wait_queue::Waiter;
 
 /// Time without a lease from which statements for the primary are refused at once, in ms.
 const MAX_LEASE_WAIT_MS: u64 = 900;
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -7,48 +7,9 @@
 use base::{Ms, Signal};
 
 use super::Group;
+use super::queue_stats::Class;
 use crate::routing::{Requirement, cost};
-use crate::{Conn, Load, Member, Rank, Throughput, is_servable};
-
-/// Statements that compete for the same members.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Class {
-    /// Only the primary can serve them.
-    Primary,
-    /// Replicas can serve them as well.
-    Any,
-    /// Control commands of the daemon itself, which go first.
-    Control,
-}
-
-/// Throughput of the statements of a group.
-#[derive(Default)]
-pub(super) struct QueueStats {
-    primary: Cell<Throughput>,
-    any: Cell<Throughput>,
-}
-
-impl QueueStats {
-    fn update(&self, class: Class, update: impl Fn(&mut Throughput)) {
-        let cell = match class {
-            Class::Primary => &self.primary,
-            Class::Any => &self.any,
-            Class::Control => return,
-        };
-        let mut throughput = cell.get();
-        update(&mut throughput);
-        cell.set(throughput);
-    }
-
-    /// The load of a class; `None` for control commands.
-    fn load(&self, class: Class, now: Ms) -> Option<Load> {
-        match class {
-            Class::Primary => Some(self.primary.get().load(now)),
-            Class::Any => Some(self.any.get().load(now)),
-            Class::Control => None,
-        }
-    }
-}
+use crate::{Conn, Member, Rank, is_servable};
 
 /// A statement that waits for a connection.
 pub(super) struct Waiter {
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -160,6 +160,15 @@
     }
 }
 
+impl From<PeerError> for io::Error {
+    fn from(e: PeerError) -> io::Error {
+        match e {
+            PeerError::Io(e) => e,
+            PeerError::Refused => io::Error::new(io::ErrorKind::ConnectionRefused, e.to_string()),
+        }
+    }
+}
+
 /// Opens a connection to a daemon for a target, with HTTP `CONNECT`.
 ///
 /// # Errors
