Test of is_servable: exact bounds of the wait, as strict as the test that it replaced

The replacement of predicted_wait's test bounded the wait from above only; a wait of 0 for ten ahead would have passed. Now 7 ms a statement ahead is pinned from both sides, without spare capacity. One comment loses a word.

--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -17,8 +17,7 @@
 
 /// Interval between two checks of the primary, in ms.
 const POLL_INTERVAL_MS: u64 = 50;
-/// Measured duration of a poll interval from which this process counts as having been stalled, in
-/// ms.
+/// Duration of a poll interval from which this process counts as having been stalled, in ms.
 const PROCESS_STALL_MS: u64 = 350;
 /// Longest random delay before acting on a failure, since other daemons detect it too, in ms.
 const MAX_JITTER_MS: u64 = 150;
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -297,7 +297,13 @@
         offered: 1.0 / 7.0,
         ..load
     };
-    assert!(!proxy::is_servable(&rank(1, 10), 0, saturated, 14.0, Ms(0)));
+    // Without spare capacity only the target counts: 7 ms for itself and for each one ahead, and
+    // the 14 ms that it takes.
+    let in_target =
+        |ahead, target| proxy::is_servable(&rank(1, target), ahead, saturated, 14.0, Ms(0));
+    assert!(in_target(0, 22) && !in_target(0, 20));
+    assert!(in_target(10, 92) && !in_target(10, 90));
+    assert!(!in_target(0, 10));
 }
 
 /// Number of requests to a replica whose log does not grow for `ms`, while a read is always
