Changes of primary: demote the old primary first, list the members before the order

Cause: a change of primary computed its fence set once, from the members it knew.

Ruled out: computing the set anew in each round alone; a listing may lag behind the join by 1.2 s.

Change: the old primary is demoted before the replicas are fenced, and asked again until the change ends, through another daemon where it does not answer this one. Its log says what must be there. The members are listed after the fences have been held; an unknown one is fenced as well. A change that fails leaves the members that may have taken commits along in the group's lock object; a daemon that does not know the past of the group waits 3 s without a primary, so that others can leave that record.

--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -1,22 +1,29 @@
-//! One primary change: fences the replicas, promotes one, and lets the others follow it.
+//! One primary change: demotes the old primary, fences the replicas, promotes one, and lets the
+//! others follow it.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use base::{Event, Ms, emit};
 
+use super::old_primary::OldPrimary;
 use crate::state::sleep_ms;
 use crate::{
-    Command, Conn, ConnError, FenceHold, FenceReport, FencingToken, Group, Member, MemberKey,
-    Promotion, Proxy, Role, Status,
+    Claim, Command, Conn, ConnError, Demotion, FenceHold, FenceReport, FencingToken, Group, Member,
+    MemberKey, Promotion, Proxy, Role, Status,
 };
 
 /// Timeout of a control command to a member, in ms.
-const COMMAND_TIMEOUT_MS: u64 = 400;
+pub(super) const COMMAND_TIMEOUT_MS: u64 = 400;
+/// Interval between two rounds while the old primary's log is longer than all others, in ms.
+const UNCOVERED_RETRY_MS: u64 = 100;
 /// Interval between two questions to the candidate whether it is primary, in ms.
 const PROMOTION_POLL_MS: u64 = 50;
 /// Time after which a promotion that has been ordered counts as failed, in ms.
 const PROMOTION_TIMEOUT_MS: u64 = 2500;
+/// Time without a primary after which a daemon changes it that may not know which members have left,
+/// in ms.
+const UNKNOWN_PAST_WAIT_MS: u64 = 3000;
 /// Age of the claim from which no promotion is ordered and no fence is removed any more, in ms:
 /// another daemon may have taken over by then.
 const MAX_CLAIM_AGE_MS: u64 = 3000;
@@ -29,9 +36,13 @@
     proxy: &'a Proxy,
     group: &'a Rc<Group>,
     token: FencingToken,
+    /// See `Claim::departed`.
+    departed: Vec<Box<str>>,
     /// When the claim was requested.
     started_at: Ms,
+    /// Not fenced, but demoted; `None` if no primary was known.
     old_primary: Option<Rc<Member>>,
+    demotion: Option<OldPrimary>,
     /// Newest term when the change began.
     old_term: u64,
     /// Term that the replicas are fenced for.
@@ -47,67 +58,124 @@
         proxy: &'a Proxy,
         group: &'a Rc<Group>,
         old_primary: Option<Rc<Member>>,
-        token: FencingToken,
+        claim: Claim,
         started_at: Ms,
     ) -> PrimaryChange<'a> {
         let old_term = group.newest_term();
+        let term = old_term + 1;
+        let demote = |member| OldPrimary::demote(group, member, term);
         PrimaryChange {
             proxy,
             group,
-            token,
+            token: claim.token,
+            departed: claim.departed,
             started_at,
+            demotion: old_primary.as_ref().map(demote),
             old_primary,
             old_term,
-            term: old_term + 1,
+            term,
             hold: FenceHold::new(old_term + 1),
             conns: BTreeMap::new(),
         }
     }
 
-    /// Runs the change; returns the new primary. Fences are removed if it fails before the
-    /// promotion was ordered.
-    ///
-    /// # Errors
-    /// The step that failed.
-    pub(super) async fn run(mut self) -> Result<Rc<Member>, AbortReason> {
-        let fence_set = self.group.fence_set(self.old_primary.as_ref());
-        let result = match self.order_promotion(&fence_set).await {
-            Ok(candidate) => self.finish(&fence_set, candidate).await,
+    /// Runs the change; returns the new primary, or the step that failed, and the members that may
+    /// have taken acknowledged commits along. Fences are removed if it fails before the promotion
+    /// was ordered.
+    pub(super) async fn run(mut self) -> (Result<Rc<Member>, AbortReason>, Vec<Box<str>>) {
+        let (result, departed) = match self.order_promotion().await {
+            Ok(candidate) => (self.finish(candidate).await, Vec::new()),
             Err(reason) => {
-                self.remove_fences(&fence_set).await;
-                Err(reason)
+                self.remove_fences(&self.fenced_members()).await;
+                (Err(reason), self.departed())
             }
         };
         for conn in self.conns.into_values() {
             self.group.release(conn);
         }
-        result
+        (result, departed)
+    }
+
+    /// What the old primary has shown; `None` if it does not answer as a replica.
+    fn demotion(&self) -> Option<Demotion> {
+        self.demotion.as_ref().and_then(OldPrimary::demotion)
+    }
+
+    /// Members that have left and may have taken acknowledged commits along: those that this daemon
+    /// knows, and those on record, unless the listed members hold everything from before its start.
+    fn departed(&self) -> Vec<Box<str>> {
+        let primary = self.old_primary.as_ref();
+        let fence_set = self.group.fence_set(primary);
+        let known = fence_set.iter().filter(|m| m.removed.get());
+        let mut departed: Vec<Box<str>> = known.map(|m| m.id.clone()).collect();
+        if !self.group.is_past_held(primary) {
+            let recorded = self.departed.iter();
+            let unknown = recorded.filter(|id| self.group.member(id).is_none());
+            departed.extend(unknown.cloned());
+        }
+        departed
     }
 
     fn is_claim_too_old(&self) -> bool {
         self.started_at.elapsed() >= MAX_CLAIM_AGE_MS
     }
 
-    /// Fences the replicas, orders the promotion of the one with the longest log and returns it.
-    async fn order_promotion(
-        &mut self,
-        fence_set: &[Rc<Member>],
-    ) -> Result<Rc<Member>, AbortReason> {
-        // An unfenced member may hold an acknowledged commit that no other member has, or let the
-        // old primary acknowledge one later. A group has at least two replicas, so a smaller fence
-        // set is incomplete.
+    /// The members to fence, as known now.
+    ///
+    /// # Errors
+    /// The set is incomplete. An unfenced member may hold an acknowledged commit that no other
+    /// member has, or let the old primary acknowledge one later.
+    fn fence_set(&self) -> Result<Vec<Rc<Member>>, AbortReason> {
+        let primary = self.old_primary.as_ref();
+        let mut fence_set = self.group.fence_set(primary);
+        if self.demotion().is_some() {
+            // Its log has what the members that have left took along.
+            fence_set.retain(|m| !m.removed.get());
+        } else {
+            self.check_departed()?;
+        }
         if fence_set.len() < 2 {
             return Err("fewer than two replicas are known".into());
         }
-        self.hold_fences(fence_set).await?;
-        let candidate = self
-            .candidate(fence_set)
-            .ok_or("no replica can be promoted")?;
+        Ok(fence_set)
+    }
+
+    /// Checks that no unknown member may have left with acknowledged commits, without the log of
+    /// the old primary to show them.
+    ///
+    /// # Errors
+    /// One is on record, or this daemon has started too recently to know. Daemons that have been up
+    /// for longer act first, and leave a record.
+    fn check_departed(&self) -> Result<(), AbortReason> {
+        if self.group.is_past_held(self.old_primary.as_ref()) {
+            return Ok(());
+        }
+        let mut recorded = self.departed.iter();
+        if let Some(id) = recorded.find(|id| self.group.member(id).is_none()) {
+            return Err(format!("member {id} may have left with acknowledged commits").into());
+        }
+        if self.group.no_primary_since.get().elapsed() < UNKNOWN_PAST_WAIT_MS {
+            return Err("this daemon does not know yet which members have left".into());
+        }
+        Ok(())
+    }
+
+    /// The members that this change has fenced.
+    fn fenced_members(&self) -> Vec<Rc<Member>> {
+        let members = self.group.members.borrow();
+        let fenced = members.iter().filter(|m| self.hold.is_fenced(m.key));
+        fenced.cloned().collect()
+    }
+
+    /// Fences the replicas, orders the promotion of the one with the longest log and returns it.
+    async fn order_promotion(&mut self) -> Result<Rc<Member>, AbortReason> {
+        let candidate = self.fence_all().await?;
         emit(
             Event::FailoverFenced,
             &[
                 ("group", &self.group.name),
                 ("best", &candidate.id),
+                ("pos", &self.hold.pos(candidate.key).unwrap_or_default()),
                 ("term", &self.term),
                 ("change", &self.token),
             ],
@@ -137,22 +205,70 @@
         }
     }
 
-    /// Fences the replicas and keeps them fenced until no lease on the old primary is left.
-    async fn hold_fences(&mut self, fence_set: &[Rc<Member>]) -> Result<(), AbortReason> {
-        let keys: Vec<MemberKey> = fence_set.iter().map(|m| m.key).collect();
+    /// Stops the old primary, fences the replicas, and keeps them fenced until no lease on the old
+    /// primary is left and no other member can hold an acknowledged commit. Returns the member to
+    /// promote.
+    async fn fence_all(&mut self) -> Result<Rc<Member>, AbortReason> {
+        if let (Some(member), Some(demotion)) = (&self.old_primary, &self.demotion)
+            && member.unreachable_since.get().is_none()
+        {
+            // What it has sent to the replicas by then still reaches them before they are fenced.
+            demotion.first_attempt().await;
+        }
         loop {
-            self.ask_all(fence_set).await?;
+            let fence_set = self.fence_set()?;
+            let keys: Vec<MemberKey> = fence_set.iter().map(|m| m.key).collect();
+            self.ask_all(&fence_set).await?;
+            let mut wait_ms = self.hold.due_at(&keys).map_or(0, Ms::left);
             if self.hold.is_complete(&keys) {
-                return Ok(());
+                let listed_at = Ms::now();
+                if self.is_fence_set_complete(&keys).await? {
+                    let candidate = self.candidate(&fence_set);
+                    let candidate = candidate.ok_or("no replica can be promoted")?;
+                    if self.is_covered(&candidate, listed_at) {
+                        return Ok(candidate);
+                    }
+                    wait_ms = UNCOVERED_RETRY_MS;
+                }
             }
             if self.is_claim_too_old() {
                 return Err("the replicas did not stay fenced".into());
             }
-            let wait_ms = self.hold.due_at(&keys).map_or(0, Ms::left);
             sleep_ms(wait_ms).await;
         }
     }
 
+    /// Reads which members the platform lists, and adds those that were not known. Returns whether
+    /// `keys` are still all members to fence.
+    ///
+    /// # Errors
+    /// The members cannot be read, so one of them may be unknown.
+    async fn is_fence_set_complete(&self, keys: &[MemberKey]) -> Result<bool, AbortReason> {
+        let listed = (self.proxy.failover_api.list_members)(self.group.name.clone()).await;
+        let records = listed.ok_or("the members could not be listed")?;
+        for record in records {
+            if self.group.member(&record.id).is_none() {
+                // It may have been leaving for any time.
+                let earliest = Ms(0);
+                self.group
+                    .update_member(&record.id, Some(&record), earliest);
+            }
+        }
+        Ok(self.fence_set()?.iter().all(|m| keys.contains(&m.key)))
+    }
+
+    /// Whether a member's log contains every commit that the old primary may have confirmed.
+    fn is_covered(&self, candidate: &Member, listed_at: Ms) -> bool {
+        let Some(demotion) = self.demotion() else {
+            return true;
+        };
+        let pos = self.hold.pos(candidate.key).unwrap_or_default();
+        // A member that has left is not listed, and may have confirmed the end of the log.
+        let may_lack_end = self.departed().is_empty() && self.check_departed().is_ok();
+        let listed_at = if may_lack_end { listed_at } else { Ms(0) };
+        demotion.is_covered(pos, listed_at, self.proxy.settings.listing_delay_ms)
+    }
+
     /// Asks all members in parallel, and fences those that are not fenced yet.
     ///
     /// # Errors
@@ -194,27 +310,12 @@
         fence_set.iter().max_by_key(key).cloned()
     }
 
-    /// Waits until the candidate is primary, lets the other members follow it, and demotes the old
-    /// primary.
-    async fn finish(
-        &mut self,
-        fence_set: &[Rc<Member>],
-        candidate: Rc<Member>,
-    ) -> Result<Rc<Member>, AbortReason> {
+    /// Waits until the candidate is primary, and lets the other members follow it.
+    async fn finish(&mut self, candidate: Rc<Member>) -> Result<Rc<Member>, AbortReason> {
         self.await_promotion(&candidate).await?;
-        let others: Vec<_> = fence_set
-            .iter()
-            .filter(|m| m.key != candidate.key)
-            .cloned()
-            .collect();
+        let mut others = self.fenced_members();
+        others.retain(|m| m.key != candidate.key);
         self.remove_fences(&others).await;
-        if let Some(old_primary) = self.old_primary.clone()
-            && !old_primary.removed.get()
-            && old_primary.unreachable_since.get().is_none()
-        {
-            let term = candidate.last_probe.get().map_or(0, |probe| probe.term);
-            let _ = self.send(&old_primary, &Command::Demote { term }).await;
-        }
         Ok(candidate)
     }
 
@@ -310,7 +411,10 @@
 }
 
 /// Takes a connection for control commands from the pool, or opens one.
-async fn open_control_conn(group: &Group, member: &Rc<Member>) -> Result<Conn, ConnError> {
+pub(super) async fn open_control_conn(
+    group: &Group,
+    member: &Rc<Member>,
+) -> Result<Conn, ConnError> {
     match group.control_conn(member).await {
         Ok(conn) => Ok(conn),
         // Sessions hold all connections; a control command justifies another one.
--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -1,18 +1,20 @@
 //! Changes the primary of a group when it has failed or is leaving.
 //!
-//! Every acknowledged commit is in the log of at least one replica. All replicas are therefore
-//! fenced first, after which the old primary can acknowledge no further commit. Once no daemon can
-//! hold a lease on the old primary any more (`fence`), the replica with the longest log, which
-//! contains every acknowledged commit, is promoted.
+//! Every acknowledged commit is in the log of at least one replica. The old primary is therefore
+//! demoted, if it can be reached, and all replicas are fenced, after which no further commit can be
+//! acknowledged. Once no daemon can hold a lease on the old primary any more and no unknown member
+//! is left (`fence`), the replica with the longest log, which contains every acknowledged commit,
+//! is promoted.
 
 mod change;
+mod old_primary;
 
 use std::rc::Rc;
 
 use base::{Event, Ms, emit};
 
 use crate::state::sleep_ms;
-use crate::{Command, FailoverCause, Group, Member, Proxy, detect_failure};
+use crate::{Command, FailoverCause, Group, Member, Proxy, Release, detect_failure};
 use change::{AbortReason, PrimaryChange, send_command};
 
 /// Interval between two checks of the primary, in ms.
@@ -74,13 +76,12 @@
     }
     sleep_ms(fastrand::u64(..MAX_JITTER_MS)).await;
     let stale: Vec<_> = group.listed().into_iter().filter(is_stale).collect();
-    if stale.is_empty()
-        || (proxy.failover_api.claim)(group.name.clone())
-            .await
-            .is_none()
-    {
+    if stale.is_empty() {
         return;
     }
+    let Some(claim) = (proxy.failover_api.claim)(group.name.clone()).await else {
+        return;
+    };
     for member in stale {
         let result = send_command(group, &member, &Command::Unfence).await;
         emit(
@@ -92,7 +93,11 @@
             ],
         );
     }
-    (proxy.failover_api.release)(group.name.clone()).await;
+    let release = Release {
+        group: group.name.clone(),
+        departed: claim.departed,
+    };
+    (proxy.failover_api.release)(release).await;
 }
 
 /// Claims and runs one primary change; `None` when the claim was not obtained.
@@ -103,9 +108,10 @@
 ) -> Result<Option<()>, AbortReason> {
     let started_at = Ms::now();
     let old_primary = group.primary();
-    let Some(token) = (proxy.failover_api.claim)(group.name.clone()).await else {
+    let Some(claim) = (proxy.failover_api.claim)(group.name.clone()).await else {
         return Ok(None);
     };
+    let token = claim.token;
     emit(
         Event::FailoverStarted,
         &[
@@ -115,9 +121,13 @@
             ("change", &token),
         ],
     );
-    let change = PrimaryChange::new(proxy, group, old_primary, token, started_at);
-    let result = change.run().await;
-    (proxy.failover_api.release)(group.name.clone()).await;
+    let change = PrimaryChange::new(proxy, group, old_primary, claim, started_at);
+    let (result, departed) = change.run().await;
+    let release = Release {
+        group: group.name.clone(),
+        departed,
+    };
+    (proxy.failover_api.release)(release).await;
     let new = result?;
     proxy.stats.changes.inc();
     emit(
--- a/crates/proxy/src/fence.rs
+++ b/crates/proxy/src/fence.rs
@@ -5,6 +5,9 @@
 //! primary to daemons that still hold a lease. The promotion is therefore ordered only if every
 //! member of the fence set was fenced without interruption for `FENCE_DURATION_MS`, shown by two
 //! reports over one connection. An interruption makes the time count anew.
+//!
+//! A member may join the group unnoticed while the others are fenced, and confirm commits alone
+//! until the old primary is demoted. The old primary's own log shows them (`Demotion`).
 
 use std::collections::BTreeMap;
 
@@ -29,6 +32,26 @@
     pub pos: Pos,
 }
 
+/// The old primary's last answer as a replica: from then on it confirms no commit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Demotion {
+    /// When the answer was read.
+    pub at: Ms,
+    /// End of its log, which contains every commit that it has confirmed.
+    pub pos: Pos,
+}
+
+impl Demotion {
+    /// Whether a log that ends at `pos` contains every confirmed commit.
+    ///
+    /// It may lack the end of the old primary's log if no member can have confirmed that: all
+    /// members of the group were listed at `listed_at`, at least `listing_delay_ms` after the
+    /// demotion, and none of them has a longer log.
+    pub fn is_covered(&self, pos: Pos, listed_at: Ms, listing_delay_ms: u64) -> bool {
+        pos >= self.pos || listed_at >= self.at.plus(listing_delay_ms)
+    }
+}
+
 /// The fences of one primary change.
 #[derive(Clone, Debug)]
 pub struct FenceHold {
--- a/crates/proxy/src/group/conns.rs
+++ b/crates/proxy/src/group/conns.rs
@@ -96,17 +96,7 @@
         if member.tunneling.replace(true) {
             return;
         }
-        let peers = self
-            .peers
-            .tunnel_candidates(&member.record.borrow().data_center);
-        let result = Conn::open_tunneled(
-            &peers,
-            member.clone(),
-            self.codec,
-            &self.vm,
-            CONNECT_TIMEOUT_MS,
-        )
-        .await;
+        let result = self.connect_through_peer(&member).await;
         member.tunneling.set(false);
         // A tunnel that cannot be opened says nothing about the member.
         if let Ok(conn) = result {
@@ -206,6 +196,18 @@
         Conn::open(member.clone(), self.codec, &self.vm, CONNECT_TIMEOUT_MS).await
     }
 
+    /// Opens a connection for a control command through another daemon.
+    ///
+    /// # Errors
+    /// As `Conn::open_tunneled`.
+    pub async fn connect_through_peer(&self, member: &Rc<Member>) -> Result<Conn, ConnError> {
+        let peers = self
+            .peers
+            .tunnel_candidates(&member.record.borrow().data_center);
+        let member = member.clone();
+        Conn::open_tunneled(&peers, member, self.codec, &self.vm, CONNECT_TIMEOUT_MS).await
+    }
+
     /// Acquires a connection from the pool for a control command of the daemon itself, with the
     /// highest priority; opens one if there is none to the member.
     ///
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -67,6 +67,9 @@
     queue_stats: QueueStats,
     /// When this daemon learnt of the group.
     created_at: Ms,
+    /// First position that a leased primary reported to this daemon. It includes every commit that
+    /// was confirmed by members which had left before this daemon started.
+    first_pos: Cell<Option<Pos>>,
     lease_state: RefCell<Lease>,
     had_lease: Cell<bool>,
     weak_self: Weak<Group>,
@@ -93,6 +96,7 @@
             waiters: RefCell::default(),
             queue_stats: QueueStats::default(),
             created_at: Ms::now(),
+            first_pos: Cell::new(None),
             lease_state: RefCell::default(),
             had_lease: Cell::new(false),
             weak_self: weak.clone(),
@@ -315,6 +319,9 @@
         if is_primary && pos.term == self.newest_term() && sent_at <= self.lease_until() {
             self.history.borrow_mut().add(sent_at, pos);
             self.record_final_pos(sent_at, pos);
+            if self.first_pos.get().is_none() {
+                self.first_pos.set(Some(pos));
+            }
         }
     }
 
@@ -349,16 +356,28 @@
         replicas.filter(|m| !is_settled(m)).map(|m| m.key).collect()
     }
 
+    /// Whether a listed member other than the primary has received a position.
+    fn is_held(&self, pos: Pos, primary: Option<&Rc<Member>>) -> bool {
+        let members = self.members.borrow();
+        let is_replica = |m: &Rc<Member>| primary.is_none_or(|p| p.key != m.key);
+        let mut replicas = members.iter().filter(|m| !m.removed.get() && is_replica(m));
+        replicas.any(|m| m.log_end() >= pos)
+    }
+
+    /// Whether the listed replicas are known to hold every commit that was confirmed before this
+    /// daemon started, so that no member that it has never known matters for a primary change.
+    pub fn is_past_held(&self, primary: Option<&Rc<Member>>) -> bool {
+        let first_pos = self.first_pos.get();
+        first_pos.is_some_and(|pos| self.is_held(pos, primary))
+    }
+
     /// Members that a primary change must fence, since each may have confirmed a commit of the
     /// primary that no other member has: all but the primary and the removed members whose commits
     /// another replica is known to hold.
     pub fn fence_set(&self, primary: Option<&Rc<Member>>) -> Vec<Rc<Member>> {
         let members = self.members.borrow();
         let is_replica = |m: &Rc<Member>| primary.is_none_or(|p| p.key != m.key);
-        let is_held = |pos: Pos| {
-            let mut replicas = members.iter().filter(|m| !m.removed.get() && is_replica(m));
-            replicas.any(|m| m.pos.get() >= pos)
-        };
+        let is_held = |pos| self.is_held(pos, primary);
         let is_in_fence_set = |m: &&Rc<Member>| {
             let is_settled = m.removed.get() && m.final_pos.get().is_some_and(is_held);
             is_replica(m) && !is_settled
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -199,6 +199,12 @@
         self.lag_backoff.set(lag_backoff);
     }
 
+    /// End of the log as last reported, applied or not.
+    pub(crate) fn log_end(&self) -> Pos {
+        let received = self.status.get().map_or(Pos::ZERO, |s| s.received);
+        self.pos.get().max(received)
+    }
+
     /// Adds a sample to the mean latency.
     pub(crate) fn record_latency(&self, ms: u64, now: Ms) {
         let sample = f64::from(u32::try_from(ms).unwrap_or(u32::MAX));
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -35,15 +35,34 @@
     pub token: FencingToken,
 }
 
+/// The right to change the primary of a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Claim {
+    pub token: FencingToken,
+    /// Identifiers of members that have left and may have taken acknowledged commits along, as the
+    /// former holder of the claim has found.
+    pub departed: Vec<Box<str>>,
+}
+
+/// The end of a claim.
+pub struct Release {
+    pub group: Box<str>,
+    /// What the next holder finds in `Claim::departed`.
+    pub departed: Vec<Box<str>>,
+}
+
 /// Calls by which a primary change is claimed and ordered.
 pub struct FailoverApi {
     /// Claims the right to change the primary of a group; `None` when another daemon holds it, or
     /// the claim failed.
-    pub claim: AsyncCall<Box<str>, Option<FencingToken>>,
+    pub claim: AsyncCall<Box<str>, Option<Claim>>,
     /// Releases the claim on a group after a primary change.
-    pub release: AsyncCall<Box<str>, ()>,
+    pub release: AsyncCall<Release, ()>,
     /// Orders a promotion; false if it was certainly not accepted.
     pub promote: AsyncCall<Promotion, bool>,
+    /// Reads the members of a group that the platform lists at the time of the call; `None` when
+    /// they cannot be read.
+    pub list_members: AsyncCall<Box<str>, Option<Vec<MemberRecord>>>,
 }
 
 /// Settings of one daemon.
@@ -57,6 +76,8 @@
     pub max_callers: u64,
     /// Time for which a member takes new statements after it has announced that it leaves, in ms.
     pub drain_ms: u64,
+    /// Longest time from when a member joins its group until the platform lists it, in ms.
+    pub listing_delay_ms: u64,
 }
 
 /// One daemon.
--- a/crates/world/src/group.rs
+++ b/crates/world/src/group.rs
@@ -13,8 +13,6 @@
 use crate::store::Store;
 use crate::{member, sleep_ms};
 
-/// Members per group.
-const MEMBER_COUNT: usize = 3;
 /// Time between the crash of a member and the removal of its object from the store.
 const OBJECT_EXPIRY_MS: u64 = 3600;
 /// Time for which an old primary must be connected to the new one before it steps down.
@@ -118,9 +116,9 @@
 }
 
 impl Group {
-    /// Starts a group whose first member is the primary.
-    pub fn start(name: &str, promote_ms: u64, store: &Rc<Store>) -> Rc<Group> {
-        let listeners: Vec<TcpListener> = (0..MEMBER_COUNT)
+    /// Starts a group of `members` members, the first of which is the primary.
+    pub fn start(name: &str, members: usize, promote_ms: u64, store: &Rc<Store>) -> Rc<Group> {
+        let listeners: Vec<TcpListener> = (0..members)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("failed to bind a loopback port"))
             .collect();
         let group = Rc::new_cyclic(|weak_self| Group {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -17,6 +17,9 @@
 pub use group::{Entry, Group, Member};
 pub use store::{Outage, Store};
 
+/// Members per group, unless a test asks for more.
+const MEMBER_COUNT: usize = 3;
+
 /// Runs a test to completion on a new monoio runtime.
 ///
 /// # Panics
@@ -55,9 +58,17 @@
     /// # Panics
     /// When no port can be bound.
     pub fn start(groups: usize, promote_ms: u64) -> Rc<World> {
+        World::start_groups(groups, MEMBER_COUNT, promote_ms)
+    }
+
+    /// As `start`, with `members` members in each group.
+    ///
+    /// # Panics
+    /// When no port can be bound.
+    pub fn start_groups(groups: usize, members: usize, promote_ms: u64) -> Rc<World> {
         let store = Rc::new(Store::default());
         let groups = (0..groups)
-            .map(|g| Group::start(&format!("g{g}"), promote_ms, &store))
+            .map(|g| Group::start(&format!("g{g}"), members, promote_ms, &store))
             .collect();
         let world = Rc::new(World {
             store,
