--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{HeaderMap, Request};
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
@@ -46,6 +46,27 @@
     }
 }
 
+/// A complete answer, whatever its status.
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body of a 2xx answer.
+    ///
+    /// # Errors
+    /// `CallError::Status` for any other.
+    fn into_body(self) -> Result<Bytes, CallError> {
+        if (200..300).contains(&self.status) {
+            Ok(self.body)
+        } else {
+            Err(CallError::Status(self.status, self.body))
+        }
+    }
+}
+
 /// One connection, taken from the pool for a call or a transaction.
 pub struct Conn {
     addr: SocketAddr,
@@ -204,15 +225,34 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<Bytes, CallError> {
+        let answer = self
+            .exchange(addr, method, path, headers, body, timeout_ms)
+            .await?;
+        answer.into_body()
+    }
+
+    /// As `with_headers`, for callers that read headers of the answer.
+    ///
+    /// # Errors
+    /// `NotSent` when the request has certainly had no effect, otherwise `NoAnswer`.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Answer, CallError> {
         let mut conn = match self.take_idle(addr) {
             Some(conn) => conn,
             None => self.open(addr).await?,
         };
-        let result = conn.send(method, path, headers, body, timeout_ms).await;
-        if matches!(result, Ok(_) | Err(CallError::Status(..))) {
-            self.put(conn);
-        }
-        result
+        let answer = conn
+            .exchange(method, path, headers, body, timeout_ms)
+            .await?;
+        self.put(conn);
+        Ok(answer)
     }
 }
 
@@ -241,6 +281,20 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<Bytes, CallError> {
+        let answer = self
+            .exchange(method, path, headers, body, timeout_ms)
+            .await?;
+        answer.into_body()
+    }
+
+    async fn exchange(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Answer, CallError> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -268,16 +322,14 @@
                         CallError::NoAnswer(text)
                     }
                 })?;
-            let status = response.status().as_u16();
-            let body = response.into_body().collect().await;
-            let body = body
-                .map_err(|e| CallError::NoAnswer(e.to_string().into()))?
-                .to_bytes();
-            if (200..300).contains(&status) {
-                Ok(body)
-            } else {
-                Err(CallError::Status(status, body))
-            }
+            let (head, body) = response.into_parts();
+            let body = body.collect().await;
+            let body = body.map_err(|e| CallError::NoAnswer(e.to_string().into()))?;
+            Ok(Answer {
+                status: head.status.as_u16(),
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
         };
         match monoio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
             Ok(result) => result,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,5 +6,5 @@
 mod client;
 mod server;
 
-pub use client::{CallError, Client, Conn, HELLO_PATH};
+pub use client::{Answer, CallError, Client, Conn, HELLO_PATH};
 pub use server::{Call, Handler, StatusAndBody, decode, encode, serve};
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -67,6 +67,8 @@
     pub sessions: Gauge,
     /// Version of the configuration in force; set when the metrics are served.
     pub config_version: Gauge,
+    /// Era of the platform's store; set when the metrics are served.
+    pub store_era: Gauge,
 }
 
 impl Default for Stats {
@@ -82,6 +84,7 @@
             changes: Counter::default(),
             sessions: Gauge::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
         };
         registry.register(
             "statements",
@@ -101,6 +104,8 @@
         registry.register("sessions", "Open sessions", stats.sessions.clone());
         let help = "Version of the configuration in force";
         registry.register("config_version", help, stats.config_version.clone());
+        let help = "Number of restores of the metadata store from a copy";
+        registry.register("store_era", help, stats.store_era.clone());
         Stats { registry, ..stats }
     }
 }
--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -41,38 +41,48 @@
 /// Serves the store to one daemon on a new port and returns the address.
 pub fn serve_store(world: Rc<World>, daemon: &str) -> String {
     let daemon: Rc<str> = daemon.into();
-    serve(move |request| {
-        let (world, daemon) = (world.clone(), daemon.clone());
-        async move { handle_store_request(&world.store, &daemon, &request).await }
-    })
+    let store = world.store.clone();
+    serve(
+        move || Some(store.era.get()),
+        move |request| {
+            let (world, daemon) = (world.clone(), daemon.clone());
+            async move { handle_store_request(&world.store, &daemon, &request).await }
+        },
+    )
 }
 
 /// Serves the promotion API to one daemon on a new port and returns the address.
 pub fn serve_promotion_api(world: Rc<World>, daemon: &str) -> String {
     let daemon: Rc<str> = daemon.into();
-    serve(move |request| {
-        let (world, daemon) = (world.clone(), daemon.clone());
-        async move { handle_promotion(&world, &daemon, &request).await }
-    })
+    serve(
+        || None,
+        move |request| {
+            let (world, daemon) = (world.clone(), daemon.clone());
+            async move { handle_promotion(&world, &daemon, &request).await }
+        },
+    )
 }
 
-/// Serves requests with `handler` on a new port and returns the address.
-fn serve<F, A>(handler: F) -> String
+/// Serves requests with `handler` on a new port and returns the address. Answers carry the era of
+/// the store, if any.
+fn serve<E, F, A>(era: E, handler: F) -> String
 where
+    E: Fn() -> Option<u64> + Clone + 'static,
     F: Fn(ApiRequest) -> A + Clone + 'static,
     A: Future<Output = ApiResult> + 'static,
 {
     let (listener, addr) = bind();
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(serve_connection(stream, handler.clone()));
+            monoio::spawn(serve_connection(stream, era.clone(), handler.clone()));
         }
     });
     addr
 }
 
-async fn serve_connection<F, A>(stream: TcpStream, handler: F)
+async fn serve_connection<E, F, A>(stream: TcpStream, era: E, handler: F)
 where
+    E: Fn() -> Option<u64>,
     F: Fn(ApiRequest) -> A,
     A: Future<Output = ApiResult>,
 {
@@ -80,15 +90,16 @@
         return;
     };
     let service = service_fn(|request: Request<Incoming>| {
-        let handler = &handler;
+        let (handler, era) = (&handler, &era);
         async move {
             let request = read_request(request).await.map_err(std::io::Error::other)?;
             let (code, body) = handler(request).await?;
             let body = Full::new(Bytes::from(body.to_string()));
-            Response::builder()
-                .status(code)
-                .body(body)
-                .map_err(std::io::Error::other)
+            let mut answer = Response::builder().status(code);
+            if let Some(era) = era().filter(|era| *era > 0) {
+                answer = answer.header("store-era", era);
+            }
+            answer.body(body).map_err(std::io::Error::other)
         }
     });
     // Errors are expected: an injected outage closes the connection, and so may the daemon.
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -10,6 +10,7 @@
 mod store;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use serde_json::{Value, json};
@@ -47,6 +48,8 @@
     pub groups: Vec<Rc<Group>>,
     /// Version of the newest configuration.
     version: Cell<u64>,
+    /// The newest configuration.
+    config: RefCell<Value>,
     /// Well-formed requests that the promotion API handled, oldest first, whether accepted or not.
     /// Requests that an outage blocked are missing.
     pub promotions: RefCell<Vec<PromotionRequest>>,
@@ -74,6 +77,7 @@
             store,
             groups,
             version: Cell::new(0),
+            config: RefCell::default(),
             promotions: RefCell::default(),
         });
         world.configure(0);
@@ -121,6 +125,28 @@
             "limits": {"tx_idle_ms": 3000}
         });
         self.store.put("config", "main", &spec);
+        self.config.replace(spec);
+    }
+
+    /// Restores the store as it was `age_ms` ago. Members and the operator write again after
+    /// `delay_ms`; records of members that have left are removed then.
+    pub async fn restore_store(&self, age_ms: u64, delay_ms: u64) {
+        self.store.restore(age_ms);
+        sleep_ms(delay_ms).await;
+        self.store
+            .put("config", "main", &self.config.borrow().clone());
+        let mut living = HashSet::new();
+        for group in &self.groups {
+            for member in group.members.iter().filter(|m| m.up.get()) {
+                group.publish(member);
+                living.insert(member.id.borrow().clone());
+            }
+        }
+        for name in self.store.names("servers") {
+            if !living.contains(&name) {
+                self.store.remove("servers", &name);
+            }
+        }
     }
 
     pub fn group(&self, name: &str) -> Option<&Rc<Group>> {
--- a/crates/world/src/store.rs
+++ b/crates/world/src/store.rs
@@ -9,6 +9,8 @@
 
 /// Events kept for watches.
 const MAX_HISTORY: usize = 500;
+/// Changes that a restore can undo.
+const MAX_COPIES: usize = 200;
 
 /// Fault in how the store and the promotion API answer a daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,12 +39,23 @@
     removed: bool,
 }
 
+/// Copy of the objects, from which the store can be restored.
+struct Copy {
+    made_at: Ms,
+    revision: u64,
+    objects: BTreeMap<Key, Value>,
+}
+
 /// The simulated metadata store.
 #[derive(Default)]
 pub struct Store {
     objects: RefCell<BTreeMap<Key, Value>>,
     revision: Cell<u64>,
     history: RefCell<VecDeque<Event>>,
+    /// Number of restores so far; answers carry it once there was one.
+    pub era: Cell<u64>,
+    /// Copies made before each of the last changes, oldest first.
+    copies: RefCell<VecDeque<Copy>>,
     /// Revision up to which events were dropped; a watch can resume only from here or later.
     compacted_revision: Cell<u64>,
     /// Notified at each event and at a compaction.
@@ -87,6 +100,42 @@
         self.changed.notify();
     }
 
+    /// Makes a copy of the objects, to be called before a change.
+    fn make_copy(&self) {
+        let mut copies = self.copies.borrow_mut();
+        copies.push_back(Copy {
+            made_at: Ms::now(),
+            revision: self.revision.get(),
+            objects: self.objects.borrow().clone(),
+        });
+        if copies.len() > MAX_COPIES {
+            copies.pop_front();
+        }
+    }
+
+    /// Restores the store as it was `age_ms` ago, or at the oldest copy: what was written since is
+    /// gone, and its revisions are given out again.
+    pub fn restore(&self, age_ms: u64) {
+        self.era.set(self.era.get() + 1);
+        let lost = |c: &&Copy| c.made_at.elapsed() <= age_ms;
+        let copies = self.copies.take();
+        // The first change that is lost; the copy was made before it.
+        if let Some(copy) = copies.iter().find(lost) {
+            self.objects.replace(copy.objects.clone());
+            self.revision.set(copy.revision);
+        }
+        self.history.borrow_mut().clear();
+        self.compacted_revision.set(self.revision.get());
+        self.changed.notify();
+    }
+
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<Box<str>> {
+        let objects = self.objects.borrow();
+        let of_kind = objects.keys().filter(|key| &*key.0 == kind);
+        of_kind.map(|key| key.1.clone()).collect()
+    }
+
     /// Adds an event at the current revision to the history.
     fn record_event(&self, kind: &str, object: &Value, removed: bool) {
         let mut history = self.history.borrow_mut();
@@ -114,6 +163,7 @@
         {
             return current.clone();
         }
+        self.make_copy();
         self.revision.set(self.revision.get() + 1);
         let object = json!({
             "meta": {"name": name, "revision": self.revision.get(), "finalizers": []},
@@ -148,6 +198,7 @@
 
     pub fn remove(&self, kind: &str, name: &str) {
         let key = (kind.into(), name.into());
+        self.make_copy();
         let removed = self.objects.borrow_mut().remove(&key);
         if let Some(object) = removed {
             self.revision.set(self.revision.get() + 1);
@@ -171,9 +222,10 @@
         json!({"items": items, "has_more": false, "store_revision": self.revision.get()})
     }
 
-    /// Events of a kind after a revision; `None` when some of them may have been dropped.
+    /// Events of a kind after a revision; `None` when some of them may have been dropped, or the
+    /// store does not have the revision.
     pub fn events_since(&self, kind: &str, revision: u64) -> Option<Value> {
-        if revision < self.compacted_revision.get() {
+        if revision < self.compacted_revision.get() || revision > self.revision.get() {
             return None;
         }
         let history = self.history.borrow();
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -124,7 +124,7 @@
         .as_str();
     // An empty name stands for all daemons.
     let target = if rng.bool() { daemon } else { "" };
-    match rng.u8(..9) {
+    match rng.u8(..11) {
         0 => world
             .store
             .inject_outage(target, Outage::Unavailable, duration_ms),
@@ -141,10 +141,30 @@
             .store
             .inject_outage(target, Outage::Slow(rng.u64(50..400)), duration_ms),
         5 => world.store.compact(),
+        6 | 7 => restore_store(world, rng, duration_ms),
         _ => world.configure(rng.usize(..20)),
     }
 }
 
+/// Range of the age of the copy from which the store is restored.
+const COPY_AGE_MS: (u64, u64) = (100, 4000);
+/// Longest time after a restore until members and the operator have written again.
+const REWRITE_DELAY_MS: u64 = 1500;
+
+/// Lets the store be away for a moment and come back from a copy.
+fn restore_store(world: &Rc<World>, rng: &mut fastrand::Rng, duration_ms: u64) {
+    let age_ms = rng.u64(COPY_AGE_MS.0..COPY_AGE_MS.1);
+    let delay_ms = rng.u64(..REWRITE_DELAY_MS);
+    world
+        .store
+        .inject_outage("", Outage::Unavailable, duration_ms);
+    let world = world.clone();
+    monoio::spawn(async move {
+        sleep_ms(duration_ms).await;
+        world.restore_store(age_ms, delay_ms).await;
+    });
+}
+
 /// Kills, freezes, stops or sends SIGHUP to a random daemon.
 fn daemon_fault(fleet: &Rc<Fleet>, rng: &mut fastrand::Rng, duration_ms: u64) {
     let n = rng.usize(..fleet.daemons.len());
