--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -185,7 +185,11 @@
         let rank = self.rank(task.arrival);
         let avoid = attempts.excluded.clone();
         let is_new = self.retries.get() == 0;
-        let result = self.group.acquire(requirement, rank, avoid, is_new).await;
+        let key = self.group.route_key(self.route, task.write);
+        let result = self
+            .group
+            .acquire(requirement, rank, Some(key), avoid, is_new)
+            .await;
         self.wait_ms.set(task.arrival.elapsed());
         if let Ok(conn) = &result {
             self.member.replace(conn.member.id.clone());
@@ -290,6 +294,17 @@
         RetryDecision::Retry
     }
 
+    /// Records the time that a member took for a statement.
+    pub fn record_service(&self, member: &Member, task: &StatementTask, reply: &Reply, at: Ms) {
+        let took_ms = at.elapsed();
+        if reply.error_kind().is_none() {
+            let key = self.group.route_key(self.route, task.write);
+            self.group.on_service(member, key, took_ms);
+        } else {
+            member.record_latency(took_ms, Ms::now());
+        }
+    }
+
     /// Decides how to go on after the connection was lost with a statement in flight: a read is
     /// retried on another member, the outcome of a write is unknown.
     pub fn after_loss(
@@ -403,7 +418,7 @@
         let decision = match result {
             Ok(reply) => {
                 cx.group.on_reply(&conn.member, sent_at, &reply);
-                conn.member.record_latency(sent_at.elapsed(), Ms::now());
+                cx.record_service(&conn.member, task, &reply, sent_at);
                 let decision = cx
                     .after_reply(task, &mut conn, requirement, reply, &mut attempts)
                     .await;
--- a/crates/proxy/src/group/conns.rs
+++ b/crates/proxy/src/group/conns.rs
@@ -35,7 +35,7 @@
         let members = self.members.borrow().clone();
         for member in members
             .iter()
-            .filter(|m| self.is_eligible(m, requirement, now))
+            .filter(|m| self.has_room(m, requirement) && self.is_eligible(m, requirement, now))
         {
             if self.may_open(member) {
                 self.open(member);
@@ -224,7 +224,13 @@
             deadline: now.plus(CONTROL_CONN_WAIT_MS),
         };
         let conn = self
-            .acquire(Requirement::Member(member.key), rank, Vec::new(), true)
+            .acquire(
+                Requirement::Member(member.key),
+                rank,
+                None,
+                Vec::new(),
+                true,
+            )
             .await;
         conn.map_err(|_| ConnError::TimedOut)
     }
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -14,10 +14,11 @@
 use crate::tunnel::Peers;
 use crate::{
     Codec, GroupRule, History, Lease, Member, MemberKey, MemberRecord, ProbeResult, Reply, Role,
-    Settings, Status,
+    Route, ServiceTime, Settings, Status,
 };
 
 use queue_stats::QueueStats;
+pub use queue_stats::RouteKey;
 pub(crate) use wait_queue::Refusal;
 use wait_queue::Waiter;
 
@@ -33,6 +34,17 @@
 /// promotes that member any more.
 const REMOVED_MEMBER_SETTLE_MS: u64 = 1000;
 
+/// Service time assumed for a route before its first statements, in ms.
+const INITIAL_SERVICE_MS: f64 = 20.0;
+
+/// What is known of a route's reads or writes.
+struct RouteStats {
+    database: Box<str>,
+    write: bool,
+    priority: u64,
+    service_time: ServiceTime,
+}
+
 /// A group of replicated members.
 pub struct Group {
     pub name: Box<str>,
@@ -48,6 +60,8 @@
     /// When a status response last arrived while a primary was known; at first, the creation of the
     /// group.
     pub no_primary_since: Cell<Ms>,
+    /// When the newest term was first seen; at first, the creation of the group.
+    pub(crate) term_since: Cell<Ms>,
     /// Whether this daemon is an owner of the group.
     pub is_owner: Cell<bool>,
     /// Number of sessions on this group that this daemon serves.
@@ -70,6 +84,8 @@
     /// First position that a leased primary reported to this daemon. It includes every commit that
     /// was confirmed by members which had left before this daemon started.
     first_pos: Cell<Option<Pos>>,
+    /// The routes that have sent statements, reads and writes apart; indexed by `RouteKey`.
+    routes: RefCell<Vec<RouteStats>>,
     lease_state: RefCell<Lease>,
     had_lease: Cell<bool>,
     weak_self: Weak<Group>,
@@ -85,6 +101,7 @@
             history: RefCell::default(),
             changed: Signal::default(),
             no_primary_since: Cell::new(Ms::now()),
+            term_since: Cell::new(Ms::now()),
             is_owner: Cell::new(false),
             sessions: Cell::new(0),
             pending_writes: RefCell::default(),
@@ -97,6 +114,7 @@
             queue_stats: QueueStats::default(),
             created_at: Ms::now(),
             first_pos: Cell::new(None),
+            routes: RefCell::default(),
             lease_state: RefCell::default(),
             had_lease: Cell::new(false),
             weak_self: weak.clone(),
@@ -258,6 +276,9 @@
     /// The probe was sent at `sent_at`; the member has not restarted since `up_since`.
     pub fn on_status(&self, member: &Member, status: &Status, sent_at: Ms, up_since: Ms) {
         let previous = member.last_probe.get();
+        if status.term > self.newest_term() {
+            self.term_since.set(Ms::now());
+        }
         if status.fenced == 0 {
             member.fenced_since.set(None);
         } else if member.fenced_since.get().is_none() {
@@ -325,6 +346,44 @@
         }
     }
 
+    /// The key of a route's reads or writes.
+    pub fn route_key(&self, route: &Route, write: bool) -> RouteKey {
+        let mut routes = self.routes.borrow_mut();
+        let is_same = |r: &RouteStats| r.write == write && r.database == route.database;
+        let known = routes.iter().position(is_same);
+        let i = known.unwrap_or_else(|| {
+            routes.push(RouteStats {
+                database: route.database.clone(),
+                write,
+                priority: route.priority,
+                service_time: ServiceTime::default(),
+            });
+            routes.len() - 1
+        });
+        routes[i].priority = route.priority;
+        RouteKey(i)
+    }
+
+    /// Priority of a route, and the time that its statements take at best, in ms.
+    fn route_cost(&self, key: RouteKey) -> (u64, f64) {
+        let routes = self.routes.borrow();
+        let route = &routes[key.0];
+        let service = route.service_time.best_ms().unwrap_or(INITIAL_SERVICE_MS);
+        (route.priority, service)
+    }
+
+    /// Records that a statement of a route was run at a member.
+    pub fn on_service(&self, member: &Member, key: RouteKey, took_ms: u64) {
+        let now = Ms::now();
+        member.record_latency(took_ms, now);
+        let took_ms = f64::from(u32::try_from(took_ms).unwrap_or(u32::MAX));
+        let service_time = &mut self.routes.borrow_mut()[key.0].service_time;
+        service_time.record(took_ms);
+        if let Some(best_ms) = service_time.best_ms() {
+            member.record_service(took_ms, best_ms, now);
+        }
+    }
+
     /// Records the position that the primary reported in answer to a request sent at `sent_at` for
     /// the members that had been removed by then.
     fn record_final_pos(&self, sent_at: Ms, pos: Pos) {
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -7,7 +7,7 @@
 use base::{Ms, Signal};
 
 use super::Group;
-use super::queue_stats::Class;
+use super::queue_stats::{Class, RouteKey};
 use crate::routing::{Requirement, cost};
 use crate::{Conn, Member, Rank, is_servable};
 
@@ -15,6 +15,8 @@
 pub(super) struct Waiter {
     rank: Rank,
     requirement: Requirement,
+    /// Slot time that the statement takes, in ms.
+    service_ms: f64,
     /// As of the arrival or the latest `refuse_hopeless`.
     class: Cell<Class>,
     /// Members that have already failed to run the statement.
@@ -72,9 +74,14 @@
         }
     }
 
+    /// Whether a member may get another statement now; control commands are not limited.
+    pub(super) fn has_room(&self, member: &Member, requirement: Requirement) -> bool {
+        matches!(requirement, Requirement::Member(_)) || member.has_room(self.peers.count() + 1)
+    }
+
     /// Acquires a connection to an eligible member: an idle one, or else one that `dispatch`
-    /// assigns in the order of the wait queue. `is_new` is false for a statement that is tried
-    /// again.
+    /// assigns in the order of the wait queue. `route` is `None` for control commands; `is_new` is
+    /// false for a statement that is tried again.
     ///
     /// # Errors
     /// Why the statement gets no connection.
@@ -82,14 +89,19 @@
         &self,
         requirement: Requirement,
         rank: Rank,
+        route: Option<RouteKey>,
         excluded: Vec<Box<str>>,
         is_new: bool,
     ) -> Result<Conn, Refusal> {
         let class = self.class(requirement, Ms::now());
+        if let Some(route) = route.filter(|_| is_new) {
+            self.queue_stats.record_arrival(class, route, Ms::now());
+        }
+        let service_ms = route.map_or(0.0, |route| self.route_cost(route).1);
         if let Some(conn) = self.take_idle(requirement, &excluded).await {
             self.queue_stats.update(class, |t| {
                 t.record_arrival(is_new, Ms::now());
-                t.record_service(Ms::now());
+                t.record_service(service_ms, Ms::now());
             });
             return Ok(conn);
         }
@@ -100,12 +112,17 @@
         if matches!(requirement, Requirement::Primary(_)) && self.is_primary_unavailable() {
             return Err(Refusal::NoPrimary);
         }
-        if !self.is_servable(requirement, class, &rank, now) {
+        let is_admitted = route.filter(|_| is_new).is_none_or(|route| {
+            let cost = |route| self.route_cost(route);
+            self.queue_stats.admit(class, route, cost, now)
+        });
+        if !is_admitted || !self.is_servable(requirement, class, &rank, now) {
             return Err(Refusal::Full);
         }
         let waiter = Rc::new(Waiter {
             rank,
             requirement,
+            service_ms,
             class: Cell::new(class),
             excluded,
             result: RefCell::default(),
@@ -213,6 +230,7 @@
                 let eligible = members.iter().filter(|m| {
                     !m.idle_conns.borrow().is_empty()
                         && !excluded.contains(&m.id)
+                        && self.has_room(m, requirement)
                         && self.is_eligible(m, requirement, now)
                 });
                 eligible
@@ -260,6 +278,7 @@
             let eligible = members.iter().filter(|m| {
                 !m.idle_conns.borrow().is_empty()
                     && !waiter.excluded.contains(&m.id)
+                    && self.has_room(m, waiter.requirement)
                     && self.is_eligible(m, waiter.requirement, now)
             });
             let best = eligible.min_by(|a, b| {
@@ -269,8 +288,9 @@
             let Some(conn) = pop_idle(best, waiter.requirement) else {
                 continue;
             };
-            self.queue_stats
-                .update(waiter.class.get(), |t| t.record_service(now));
+            self.queue_stats.update(waiter.class.get(), |t| {
+                t.record_service(waiter.service_ms, now);
+            });
             self.settle(&waiter, Ok(conn));
         }
         self.update_busy(now);
--- a/crates/proxy/src/health_check.rs
+++ b/crates/proxy/src/health_check.rs
@@ -9,6 +9,12 @@
 
 /// Interval between two rounds of the health check, in ms.
 const CHECK_INTERVAL_MS: u64 = 100;
+/// As `CHECK_INTERVAL_MS`, while the members are just being found and only a second report of each
+/// is missing for the lease.
+const SETTLING_INTERVAL_MS: u64 = 20;
+/// Time after a start or a change of primary for which the shorter interval applies, in ms: where the
+/// lease does not follow within this time, asking more often does not help.
+const SETTLING_TIME_MS: u64 = 600;
 /// Timeout of a health probe, in ms.
 const PROBE_TIMEOUT_MS: u64 = 400;
 /// Age at which the probe result of the primary, which the lease does not need, is renewed, in ms.
@@ -19,7 +25,7 @@
 /// Checks the members of a group until the process ends.
 pub async fn run(group: Rc<Group>) {
     loop {
-        sleep_ms(CHECK_INTERVAL_MS).await;
+        sleep_ms(check_interval_ms(&group)).await;
         group.trim();
         group.refuse_hopeless();
         if !group.is_served() {
@@ -41,6 +47,14 @@
     }
 }
 
+fn check_interval_ms(group: &Group) -> u64 {
+    if group.lease_until().left() == 0 && group.term_since.get().elapsed() < SETTLING_TIME_MS {
+        SETTLING_INTERVAL_MS
+    } else {
+        CHECK_INTERVAL_MS
+    }
+}
+
 /// Returns the members to probe in this round. Replicas are probed so that their probe results stay
 /// linked, the primary mainly when there is no recent position sample. While no primary is known or
 /// the lease has run out, all members are probed in every round. Members without an open connection
@@ -51,12 +65,13 @@
     let position_stale = sampled_at.is_none_or(|at| now.0 - at.0 >= POSITION_INTERVAL_MS);
     let no_lease = group.primary().is_none() || group.lease_until() <= now;
     let renewal_ms = renewal_interval_ms(group.is_lease_redundant(now));
+    let interval_ms = check_interval_ms(group);
     let is_due = |m: &Rc<Member>| {
         let result = m.last_probe.get();
         let age = result.map_or(u64::MAX, |r| now.0 - r.sent_at.0);
         let is_primary = result.is_some_and(|r| r.role == Role::Primary);
         let max_age = match (no_lease, is_primary) {
-            (true, _) => CHECK_INTERVAL_MS,
+            (true, _) => interval_ms,
             (false, false) => renewal_ms,
             (false, true) if position_stale => POSITION_INTERVAL_MS,
             (false, true) => PRIMARY_PROBE_INTERVAL_MS,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
 mod codec;
+mod concurrency;
 mod config_push;
 mod conn;
 mod exec;
@@ -24,7 +25,9 @@
 mod queue;
 mod reply;
 mod routing;
+mod service_time;
 mod session;
+mod shedding;
 mod state;
 mod statement;
 mod stats;
@@ -33,10 +36,11 @@
 pub mod tunnel;
 
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
+pub use concurrency::ConcurrencyLimit;
 pub use conn::{Conn, ConnError};
 pub use failure_detector::{FailoverCause, PrimaryHealth, detect_failure};
 pub use fence::{Demotion, FenceHold, FenceReport};
-pub use group::Group;
+pub use group::{Group, RouteKey};
 pub use handshake::serve;
 pub use history::History;
 pub use lag_backoff::LagBackoff;
@@ -47,6 +51,8 @@
 pub use queue::{Rank, is_servable};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
 pub use schema::{Config, Freshness, GroupRule, Route};
+pub use service_time::ServiceTime;
+pub use shedding::{Demand, admitted_parts};
 pub use state::{AsyncCall, Claim, FailoverApi, FencingToken, Promotion, Proxy, Release, Settings};
 pub use statement::{PreparedStatement, Request, Statement, Verb};
 pub use stats::{Outcome, ReadLabels, StatementLabels, Stats};
--- a/crates/proxy/src/throughput.rs
+++ b/crates/proxy/src/throughput.rs
@@ -22,6 +22,8 @@
     arrived: f64,
     /// Number of statements that were served while others were waiting.
     served: f64,
+    /// Slot time that these take, in ms.
+    service_ms: f64,
     /// Time in which statements were waiting, in ms.
     busy_ms: f64,
     /// Time over which the arrivals were counted, in ms.
@@ -37,6 +39,7 @@
         let span = (1.0 - weight) * HALF_LIFE_MS / std::f64::consts::LN_2;
         self.arrived *= weight;
         self.served *= weight;
+        self.service_ms *= weight;
         self.span_ms = self.span_ms * weight + span;
         self.busy_ms = self.busy_ms * weight + if self.busy { span } else { 0.0 };
     }
@@ -61,11 +64,12 @@
         self.arrived = (self.arrived - 1.0).max(0.0);
     }
 
-    /// Records that a statement got a connection.
-    pub fn record_service(&mut self, now: Ms) {
+    /// Records that a statement that takes `service_ms` of a slot got a connection.
+    pub fn record_service(&mut self, service_ms: f64, now: Ms) {
         self.advance(now);
         if self.busy {
             self.served += 1.0;
+            self.service_ms += service_ms;
         }
     }
 
@@ -81,6 +85,7 @@
         let is_known = self.busy_ms >= MIN_BUSY_MS;
         Load {
             capacity: is_known.then(|| (self.served + 1.0) / self.busy_ms),
+            slots: is_known.then(|| self.service_ms / self.busy_ms),
             offered: self.arrived / self.span_ms.max(MIN_BUSY_MS),
         }
     }
@@ -91,6 +96,8 @@
 pub struct Load {
     /// `None` while too little has been waiting to tell.
     pub capacity: Option<f64>,
+    /// Slots that can be occupied; `None` as above.
+    pub slots: Option<f64>,
     pub offered: f64,
 }
 
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -66,7 +66,9 @@
             return aborted("the member gave no answer");
         };
         cx.group.on_reply(&conn.member, sent_at, &reply);
-        conn.member.record_latency(sent_at.elapsed(), Ms::now());
+        cx.record_service(&conn.member, task, &reply, sent_at);
+        // The member has room for another statement.
+        cx.group.dispatch();
         self.close_unless_open(cx, reply).await
     }
 
@@ -101,7 +103,8 @@
                 }
                 Ok(reply) => {
                     cx.group.on_reply(&conn.member, sent_at, &reply);
-                    conn.member.record_latency(sent_at.elapsed(), Ms::now());
+                    cx.record_service(&conn.member, task, &reply, sent_at);
+                    cx.group.dispatch();
                     self.conn = Some(conn);
                     return self.close_unless_open(cx, reply).await;
                 }
