--- a/crates/proxy/src/concurrency.rs
+++ b/crates/proxy/src/concurrency.rs
@@ -13,9 +13,9 @@
 /// Weight of the newest statement in the mean ratio of the time taken to the time at best.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Mean ratio from which the limit falls.
-const HIGH_RATIO: f64 = 2.0;
+const HIGH_RATIO: f64 = 1.6;
 /// Mean ratio up to which the limit rises.
-const LOW_RATIO: f64 = 1.5;
+const LOW_RATIO: f64 = 1.25;
 /// Factor by which the limit falls.
 const DECREASE: f64 = 0.7;
 /// Step by which the limit rises.
