--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -145,9 +145,13 @@
             // Disconnects so that the caller reconnects to a daemon that can reach the primaries.
             // A handed-off session stays open: the daemon that forwards it may already have sent
             // the next statement, which would be lost.
+            let is_refused = matches!(
+                reply.error_kind(),
+                Some(ErrorKind::Busy | ErrorKind::Behind)
+            );
             if self.origin.is_none()
                 && self.tx_state == TxState::Idle
-                && reply.error_kind() == Some(ErrorKind::Busy)
+                && is_refused
                 && !proxy.is_ready()
             {
                 return;
