--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -9,7 +9,7 @@
 /// Factor on the cost of the primary; spares it for statements that only it can run.
 const PRIMARY_COST_FACTOR: f64 = 1.6;
 /// Factor on the cost of a member in another data centre.
-const REMOTE_COST_FACTOR: f64 = 1.5;
+const REMOTE_COST_FACTOR: f64 = 2.0;
 
 /// What a statement requires of the member that runs it.
 #[derive(Clone, Copy, Debug, PartialEq)]
