The log of the last primary replaces departed members

A change whose old primary could not be reached at once was also stopped before the demotion had been tried.

Change: the record names the last primary and the end of its log when it was seen demoted; a daemon remembers it as well. Where it is among the fenced members with that log, members that have left do not matter. Before a change gives up because of them, the first attempt to demote is awaited.

--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -9,8 +9,8 @@
 use super::old_primary::OldPrimary;
 use crate::state::sleep_ms;
 use crate::{
-    Claim, Command, Conn, ConnError, Demotion, FenceHold, FenceReport, FencingToken, Group, Member,
-    MemberKey, Promotion, Proxy, Role, Status,
+    ChangeRecord, Claim, Command, Conn, ConnError, Demotion, FenceHold, FenceReport, FencingToken,
+    Group, LastPrimary, Member, MemberKey, Promotion, Proxy, Role, Status,
 };
 
 /// Timeout of a control command to a member, in ms.
@@ -36,8 +36,8 @@
     proxy: &'a Proxy,
     group: &'a Rc<Group>,
     token: FencingToken,
-    /// See `Claim::departed`.
-    departed: Vec<Box<str>>,
+    /// As an earlier change has left it.
+    record: ChangeRecord,
     /// When the claim was requested.
     started_at: Ms,
     /// Not fenced, but demoted; `None` if no primary was known.
@@ -68,7 +68,7 @@
             proxy,
             group,
             token: claim.token,
-            departed: claim.departed,
+            record: claim.record,
             started_at,
             demotion: old_primary.as_ref().map(demote),
             old_primary,
@@ -79,21 +79,47 @@
         }
     }
 
-    /// Runs the change; returns the new primary, or the step that failed, and the members that may
-    /// have taken acknowledged commits along. Fences are removed if it fails before the promotion
-    /// was ordered.
-    pub(super) async fn run(mut self) -> (Result<Rc<Member>, AbortReason>, Vec<Box<str>>) {
-        let (result, departed) = match self.order_promotion().await {
-            Ok(candidate) => (self.finish(candidate).await, Vec::new()),
+    /// Runs the change; returns the new primary, or the step that failed, and the record for the
+    /// next change. Fences are removed if it fails before the promotion was ordered.
+    pub(super) async fn run(mut self) -> (Result<Rc<Member>, AbortReason>, ChangeRecord) {
+        let (result, record) = match self.order_promotion().await {
+            Ok(candidate) => (self.finish(candidate).await, ChangeRecord::default()),
             Err(reason) => {
                 self.remove_fences(&self.fenced_members()).await;
-                (Err(reason), self.departed())
+                (Err(reason), self.new_record())
             }
         };
         for conn in self.conns.into_values() {
             self.group.release(conn);
         }
-        (result, departed)
+        (result, record)
+    }
+
+    fn new_record(&self) -> ChangeRecord {
+        let seen = self.old_primary.as_ref().zip(self.demotion());
+        let seen = seen.map(|(member, demotion)| LastPrimary {
+            id: member.id.clone(),
+            pos: demotion.pos,
+        });
+        ChangeRecord {
+            departed: self.departed(),
+            last_primary: seen
+                .or_else(|| self.group.demoted_primary())
+                .or_else(|| self.record.last_primary.clone()),
+        }
+    }
+
+    /// Whether one of these members is the last primary, demoted, with the log that it had. Its log
+    /// contains whatever members that have left took along.
+    fn has_last_primary(&self, members: &[Rc<Member>]) -> bool {
+        let known = self.group.demoted_primary();
+        let known = known.or_else(|| self.record.last_primary.clone());
+        let Some(last) = known else { return false };
+        let is_last = |m: &Rc<Member>| {
+            let received = m.status.get().map(|s| s.received);
+            m.id == last.id && !m.removed.get() && received.is_some_and(|pos| pos >= last.pos)
+        };
+        members.iter().any(is_last)
     }
 
     /// What the old primary has shown; `None` if it does not answer as a replica.
@@ -109,7 +135,7 @@
         let known = fence_set.iter().filter(|m| m.removed.get());
         let mut departed: Vec<Box<str>> = known.map(|m| m.id.clone()).collect();
         if !self.group.is_past_held(primary) {
-            let recorded = self.departed.iter();
+            let recorded = self.record.departed.iter();
             let unknown = recorded.filter(|id| self.group.member(id).is_none());
             departed.extend(unknown.cloned());
         }
@@ -128,8 +154,7 @@
     fn fence_set(&self) -> Result<Vec<Rc<Member>>, AbortReason> {
         let primary = self.old_primary.as_ref();
         let mut fence_set = self.group.fence_set(primary);
-        if self.demotion().is_some() {
-            // Its log has what the members that have left took along.
+        if self.demotion().is_some() || self.has_last_primary(&fence_set) {
             fence_set.retain(|m| !m.removed.get());
         } else {
             self.check_departed()?;
@@ -150,7 +175,7 @@
         if self.group.is_past_held(self.old_primary.as_ref()) {
             return Ok(());
         }
-        let mut recorded = self.departed.iter();
+        let mut recorded = self.record.departed.iter();
         if let Some(id) = recorded.find(|id| self.group.member(id).is_none()) {
             return Err(format!("member {id} may have left with acknowledged commits").into());
         }
@@ -209,11 +234,13 @@
     /// primary is left and no other member can hold an acknowledged commit. Returns the member to
     /// promote.
     async fn fence_all(&mut self) -> Result<Rc<Member>, AbortReason> {
-        if let (Some(member), Some(demotion)) = (&self.old_primary, &self.demotion)
-            && member.unreachable_since.get().is_none()
-        {
+        if let (Some(member), Some(demotion)) = (&self.old_primary, &self.demotion) {
+            let is_reachable = member.unreachable_since.get().is_none();
+            let is_needed = || !self.departed().is_empty() || self.check_departed().is_err();
             // What it has sent to the replicas by then still reaches them before they are fenced.
-            demotion.first_attempt().await;
+            if is_reachable || is_needed() {
+                demotion.first_attempt().await;
+            }
         }
         loop {
             let fence_set = self.fence_set()?;
--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -95,7 +95,7 @@
     }
     let release = Release {
         group: group.name.clone(),
-        departed: claim.departed,
+        record: claim.record,
     };
     (proxy.failover_api.release)(release).await;
 }
@@ -122,10 +122,10 @@
         ],
     );
     let change = PrimaryChange::new(proxy, group, old_primary, claim, started_at);
-    let (result, departed) = change.run().await;
+    let (result, record) = change.run().await;
     let release = Release {
         group: group.name.clone(),
-        departed,
+        record,
     };
     (proxy.failover_api.release)(release).await;
     let new = result?;
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -13,8 +13,8 @@
 use crate::failure_detector::PrimaryHealth;
 use crate::tunnel::Peers;
 use crate::{
-    Codec, GroupRule, History, Lease, Member, MemberKey, MemberRecord, ProbeResult, Reply, Role,
-    Route, ServiceTime, Settings, Status,
+    Codec, GroupRule, History, LastPrimary, Lease, Member, MemberKey, MemberRecord, ProbeResult,
+    Reply, Role, Route, ServiceTime, Settings, Status,
 };
 
 use queue_stats::QueueStats;
@@ -60,6 +60,8 @@
     /// When a status response last arrived while a primary was known; at first, the creation of the
     /// group.
     pub no_primary_since: Cell<Ms>,
+    /// The member that has last reported to be the primary, and its term.
+    last_primary: RefCell<Option<(Box<str>, u64)>>,
     /// When the newest term was first seen; at first, the creation of the group.
     pub(crate) term_since: Cell<Ms>,
     /// Whether this daemon is an owner of the group.
@@ -101,6 +103,7 @@
             history: RefCell::default(),
             changed: Signal::default(),
             no_primary_since: Cell::new(Ms::now()),
+            last_primary: RefCell::default(),
             term_since: Cell::new(Ms::now()),
             is_owner: Cell::new(false),
             sessions: Cell::new(0),
@@ -297,6 +300,10 @@
         if status.role == Role::Primary {
             let mut history = self.history.borrow_mut();
             history.begin_term(status.term, status.received);
+            let mut last_primary = self.last_primary.borrow_mut();
+            if last_primary.as_ref().is_none_or(|l| l.1 <= status.term) {
+                last_primary.replace((member.id.clone(), status.term));
+            }
         }
         let replicas = self.lease_replicas();
         self.lease_state
@@ -430,6 +437,17 @@
         first_pos.is_some_and(|pos| self.is_held(pos, primary))
     }
 
+    /// The last primary that this daemon knows of, if it is listed and has reported to be a replica
+    /// with the log that it had.
+    pub fn demoted_primary(&self) -> Option<LastPrimary> {
+        let (id, _) = self.last_primary.borrow().clone()?;
+        let member = self.member(&id).filter(|m| !m.removed.get())?;
+        let is_replica = member.last_probe.get()?.role == Role::Replica;
+        let received = member.status.get()?.received;
+        let has_log = received >= member.pos.get();
+        (is_replica && has_log).then_some(LastPrimary { id, pos: received })
+    }
+
     /// Members that a primary change must fence, since each may have confirmed a commit of the
     /// primary that no other member has: all but the primary and the removed members whose commits
     /// another replica is known to hold.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -53,7 +53,10 @@
 pub use schema::{Config, Freshness, GroupRule, Route};
 pub use service_time::ServiceTime;
 pub use shedding::{Demand, admitted_parts};
-pub use state::{AsyncCall, Claim, FailoverApi, FencingToken, Promotion, Proxy, Release, Settings};
+pub use state::{
+    AsyncCall, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Promotion, Proxy,
+    Release, Settings,
+};
 pub use statement::{PreparedStatement, Request, Statement, Verb};
 pub use stats::{Outcome, ReadLabels, StatementLabels, Stats};
 pub use throughput::{Load, Throughput};
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -35,20 +35,36 @@
     pub token: FencingToken,
 }
 
+/// What the holders of a group's claim leave for each other when a change fails.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ChangeRecord {
+    /// Identifiers of members that have left and may have taken acknowledged commits along.
+    pub departed: Vec<Box<str>>,
+    /// The last primary, if it was seen demoted.
+    pub last_primary: Option<LastPrimary>,
+}
+
+/// A demoted primary, whose log contains every commit that was confirmed to it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LastPrimary {
+    pub id: Box<str>,
+    /// End of its log when it was seen demoted.
+    pub pos: Pos,
+}
+
 /// The right to change the primary of a group.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Claim {
     pub token: FencingToken,
-    /// Identifiers of members that have left and may have taken acknowledged commits along, as the
-    /// former holder of the claim has found.
-    pub departed: Vec<Box<str>>,
+    /// As the former holder of the claim has left it.
+    pub record: ChangeRecord,
 }
 
 /// The end of a claim.
 pub struct Release {
     pub group: Box<str>,
-    /// What the next holder finds in `Claim::departed`.
-    pub departed: Vec<Box<str>>,
+    /// What the next holder finds in `Claim::record`.
+    pub record: ChangeRecord,
 }
 
 /// Calls by which a primary change is claimed and ordered.
