--- a/crates/proxy/src/health_check.rs
+++ b/crates/proxy/src/health_check.rs
@@ -25,7 +25,7 @@
 /// Checks the members of a group until the process ends.
 pub async fn run(group: Rc<Group>) {
     loop {
-        sleep_ms(check_interval_ms(&group)).await;
+        sleep_ms(interval_of(&group)).await;
         group.trim();
         group.refuse_hopeless();
         if !group.is_served() {
@@ -47,14 +47,21 @@
     }
 }
 
-fn check_interval_ms(group: &Group) -> u64 {
-    if group.lease_until().left() == 0 && group.term_since.get().elapsed() < SETTLING_TIME_MS {
+/// Interval to the next round, in ms, by whether the lease holds and for how long the newest term has
+/// been known.
+pub fn check_interval_ms(has_lease: bool, term_age_ms: u64) -> u64 {
+    if !has_lease && term_age_ms < SETTLING_TIME_MS {
         SETTLING_INTERVAL_MS
     } else {
         CHECK_INTERVAL_MS
     }
 }
 
+fn interval_of(group: &Group) -> u64 {
+    let has_lease = group.lease_until().left() > 0;
+    check_interval_ms(has_lease, group.term_since.get().elapsed())
+}
+
 /// Returns the members to probe in this round. Replicas are probed so that their probe results stay
 /// linked, the primary mainly when there is no recent position sample. While no primary is known or
 /// the lease has run out, all members are probed in every round. Members without an open connection
@@ -65,7 +72,7 @@
     let position_stale = sampled_at.is_none_or(|at| now.0 - at.0 >= POSITION_INTERVAL_MS);
     let no_lease = group.primary().is_none() || group.lease_until() <= now;
     let renewal_ms = renewal_interval_ms(group.is_lease_redundant(now));
-    let interval_ms = check_interval_ms(group);
+    let interval_ms = interval_of(group);
     let is_due = |m: &Rc<Member>| {
         let result = m.last_probe.get();
         let age = result.map_or(u64::MAX, |r| now.0 - r.sent_at.0);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -42,6 +42,7 @@
 pub use fence::{Demotion, FenceHold, FenceReport};
 pub use group::{Group, RouteKey};
 pub use handshake::serve;
+pub use health_check::check_interval_ms;
 pub use history::History;
 pub use lag_backoff::LagBackoff;
 pub use lease::{Lease, ProbeResult, renewal_interval_ms};
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -4,7 +4,8 @@
 use property::check_property;
 use proxy::{
     FailoverCause, History, LagBackoff, Lease, Load, Member, MemberKey, MemberRecord,
-    PrimaryHealth, ProbeResult, Rank, Role, detect_failure, is_servable, renewal_interval_ms,
+    PrimaryHealth, ProbeResult, Rank, Role, check_interval_ms, detect_failure, is_servable,
+    renewal_interval_ms,
 };
 use quickcheck::TestResult;
 use schema::Pos;
@@ -282,6 +283,7 @@
     // offered, so that a statement past its target waits twice as long.
     let load = Load {
         capacity: Some(1.0 / 7.0),
+        slots: None,
         offered: 0.5 / 7.0,
     };
     let is_servable = |ahead, target| is_servable(&rank(1, target), ahead, load, 14.0, Ms(0));
@@ -467,3 +469,14 @@
     let asked = count_denied_requests(|member, now| member.may_contain(wanted, now));
     assert!(asked <= 1, "{asked}");
 }
+
+/// Guards against a start or a change of primary that is served later than needed: the lease needs
+/// two reports of each replica, one round after the other. Where it does not follow soon, the members
+/// must not be asked more often than usual.
+#[test]
+fn members_are_asked_at_short_intervals_only_while_the_lease_is_due() {
+    assert_eq!(check_interval_ms(false, 0), 20);
+    assert_eq!(check_interval_ms(false, 599), 20);
+    assert_eq!(check_interval_ms(false, 600), 100);
+    assert_eq!(check_interval_ms(true, 0), 100);
+}
--- a/crates/proxy/tests/queue.rs
+++ b/crates/proxy/tests/queue.rs
@@ -92,7 +92,7 @@
         let first = self.waiting.iter().min_by_key(|&&a| rank(a).key(Ms(now)));
         let Some(&arrival) = first else { return };
         self.waiting.retain(|&a| a != arrival);
-        self.throughput.record_service(Ms(now));
+        self.throughput.record_service(10.0, Ms(now));
         self.throughput.set_busy(!self.waiting.is_empty(), Ms(now));
         if now + SERVICE_MS - arrival <= TARGET_MS {
             self.outcome.in_target += 1;
