--- a/crates/proxy/src/group/conns.rs
+++ b/crates/proxy/src/group/conns.rs
@@ -35,7 +35,7 @@
         let members = self.members.borrow().clone();
         for member in members
             .iter()
-            .filter(|m| self.has_room(m, requirement) && self.is_eligible(m, requirement, now))
+            .filter(|m| self.is_eligible(m, requirement, now))
         {
             if self.may_open(member) {
                 self.open(member);
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -381,14 +381,9 @@
 
     /// Records that a statement of a route was run at a member.
     pub fn on_service(&self, member: &Member, key: RouteKey, took_ms: u64) {
-        let now = Ms::now();
-        member.record_latency(took_ms, now);
+        member.record_latency(took_ms, Ms::now());
         let took_ms = f64::from(u32::try_from(took_ms).unwrap_or(u32::MAX));
-        let service_time = &mut self.routes.borrow_mut()[key.0].service_time;
-        service_time.record(took_ms);
-        if let Some(best_ms) = service_time.best_ms() {
-            member.record_service(took_ms, best_ms, now);
-        }
+        self.routes.borrow_mut()[key.0].service_time.record(took_ms);
     }
 
     /// Records the position that the primary reported in answer to a request sent at `sent_at` for
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -74,11 +74,6 @@
         }
     }
 
-    /// Whether a member may get another statement now; control commands are not limited.
-    pub(super) fn has_room(&self, member: &Member, requirement: Requirement) -> bool {
-        matches!(requirement, Requirement::Member(_)) || member.has_room(self.peers.count() + 1)
-    }
-
     /// Acquires a connection to an eligible member: an idle one, or else one that `dispatch`
     /// assigns in the order of the wait queue. `route` is `None` for control commands; `is_new` is
     /// false for a statement that is tried again.
@@ -230,7 +225,6 @@
                 let eligible = members.iter().filter(|m| {
                     !m.idle_conns.borrow().is_empty()
                         && !excluded.contains(&m.id)
-                        && self.has_room(m, requirement)
                         && self.is_eligible(m, requirement, now)
                 });
                 eligible
@@ -278,7 +272,6 @@
             let eligible = members.iter().filter(|m| {
                 !m.idle_conns.borrow().is_empty()
                     && !waiter.excluded.contains(&m.id)
-                    && self.has_room(m, waiter.requirement)
                     && self.is_eligible(m, waiter.requirement, now)
             });
             let best = eligible.min_by(|a, b| {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,7 +6,6 @@
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
 mod codec;
-mod concurrency;
 mod config_push;
 mod conn;
 mod exec;
@@ -36,7 +35,6 @@
 pub mod tunnel;
 
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
-pub use concurrency::ConcurrencyLimit;
 pub use conn::{Conn, ConnError};
 pub use failure_detector::{FailoverCause, PrimaryHealth, detect_failure};
 pub use fence::{Demotion, FenceHold, FenceReport};
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -6,7 +6,7 @@
 use base::Ms;
 use schema::Pos;
 
-use crate::{ConcurrencyLimit, Conn, LagBackoff, MemberRecord, ProbeResult, Role, Status};
+use crate::{Conn, LagBackoff, MemberRecord, ProbeResult, Role, Status};
 
 /// Weight of the newest sample in the mean latency.
 const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
@@ -91,8 +91,6 @@
     pub(crate) full_until: Cell<Ms>,
     /// Time of the newest sample, and the mean latency in ms at that time.
     latency: Cell<(Ms, f64)>,
-    /// Limit on the statements under way.
-    concurrency: Cell<ConcurrencyLimit>,
 }
 
 impl Member {
@@ -127,7 +125,6 @@
             lag_backoff: Cell::default(),
             full_until: Cell::new(Ms(0)),
             latency: Cell::new((Ms(0), INITIAL_LATENCY_MS)),
-            concurrency: Cell::default(),
         }
     }
 
@@ -208,19 +205,6 @@
         self.pos.get().max(received)
     }
 
-    /// Whether another statement may be sent. `daemons` share the member's slots.
-    pub(crate) fn has_room(&self, daemons: u64) -> bool {
-        let share = self.record.borrow().slots.div_ceil(daemons.max(1));
-        self.concurrency.get().allows(self.in_flight.get(), share)
-    }
-
-    /// Records how long a statement took, and how long its route takes at best.
-    pub(crate) fn record_service(&self, took_ms: f64, best_ms: f64, now: Ms) {
-        let mut concurrency = self.concurrency.get();
-        concurrency.record(took_ms, best_ms, now);
-        self.concurrency.set(concurrency);
-    }
-
     /// Adds a sample to the mean latency.
     pub(crate) fn record_latency(&self, ms: u64, now: Ms) {
         let sample = f64::from(u32::try_from(ms).unwrap_or(u32::MAX));
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -67,8 +67,6 @@
         };
         cx.group.on_reply(&conn.member, sent_at, &reply);
         cx.record_service(&conn.member, task, &reply, sent_at);
-        // The member has room for another statement.
-        cx.group.dispatch();
         self.close_unless_open(cx, reply).await
     }
 
@@ -104,7 +102,6 @@
                 Ok(reply) => {
                     cx.group.on_reply(&conn.member, sent_at, &reply);
                     cx.record_service(&conn.member, task, &reply, sent_at);
-                    cx.group.dispatch();
                     self.conn = Some(conn);
                     return self.close_unless_open(cx, reply).await;
                 }
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -96,11 +96,6 @@
         self.list.borrow().clone()
     }
 
-    /// Number of other daemons.
-    pub fn count(&self) -> u64 {
-        self.list.borrow().len() as u64
-    }
-
     /// Listed daemons that serve sessions handed off by this one, or are being offered one.
     pub fn hand_off_targets(&self) -> Vec<Peer> {
         let handed_off = self.handed_off.borrow();
