The circle of files in crates/proxy is gone but for a connection and its member

Cause: fifteen files of crates/proxy imported each other in a circle through state.rs and tunnel.rs (counted by /use crate::/ and the place of each item), so that no part could be read by itself.

Circles after: conn and member, which own each other.

--- a/crates/proxy/src/config_push.rs
+++ b/crates/proxy/src/config_push.rs
@@ -5,11 +5,10 @@
 
 use std::rc::Rc;
 
-use base::{Event, emit};
+use base::{Event, emit, sleep_ms};
 use schema::Config;
 
-use crate::state::sleep_ms;
-use crate::tunnel::{self, Peer};
+use crate::{Peer, tunnel};
 use crate::{Proxy, WireError};
 
 /// Delay before the push, in ms; most daemons read the configuration from the store in this time
--- /dev/null
+++ b/crates/proxy/src/configure.rs
@@ -0,0 +1,57 @@
+//! Puts configurations in force, and starts the tasks of the groups that they name.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use base::{Event, emit};
+
+use crate::{Config, Group, GroupRule, Proxy, config_push, failover, health_check};
+
+impl Proxy {
+    /// Puts a configuration in force, unless this version or a newer one already is.
+    pub fn configure(self: &Rc<Self>, config: Config) {
+        if config.version <= self.config_version.get() {
+            return;
+        }
+        for rule in &config.groups {
+            self.add_group(rule);
+        }
+        config_push::push_to_peers(self, &config);
+        let routes: HashMap<_, _> = config
+            .routes
+            .into_iter()
+            .map(|r| (r.database.clone(), Rc::new(r)))
+            .collect();
+        emit(
+            Event::GatewayConfigInForce,
+            &[
+                ("version", &config.version),
+                ("before", &self.config_version.get()),
+                ("routes", &routes.len()),
+            ],
+        );
+        self.routes.replace(routes);
+        self.update_ownership();
+        self.tx_idle_ms.set(config.tx_idle);
+        self.config_version.set(config.version);
+    }
+
+    fn add_group(self: &Rc<Self>, rule: &GroupRule) {
+        let known = self.groups.borrow().get(&rule.name).cloned();
+        if let Some(group) = known {
+            group.rule.replace(rule.clone());
+            return;
+        }
+        let group = Group::new(rule.clone(), &self.settings, self.codec, &self.peers);
+        self.groups
+            .borrow_mut()
+            .insert(rule.name.clone(), group.clone());
+        let mut pending = self.pending_members.borrow_mut();
+        for (record, earliest) in pending.values().filter(|(r, _)| r.group == rule.name) {
+            group.update_member(&record.id, Some(record), *earliest);
+        }
+        pending.retain(|_, (r, _)| r.group != rule.name);
+        monoio::spawn(health_check::run(group.clone()));
+        monoio::spawn(failover::run(self.clone(), group));
+    }
+}
--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -10,11 +10,11 @@
 use monoio::net::TcpStream;
 use quick_error::quick_error;
 
-use crate::tunnel::{self, Peer};
 use crate::{
     Codec, Command, ConnectRequest, ErrorKind, Member, PreparedStatement, Reply, ReplyEnd,
     ReplyPart, WireError,
 };
+use crate::{Peer, tunnel};
 
 /// Idle time after which the kernel sends TCP keepalive probes.
 const KEEPALIVE_IDLE_S: u64 = 2;
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -3,12 +3,11 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use base::{Event, Ms, emit};
+use base::{Event, Ms, emit, sleep_ms};
 use schema::Pos;
 
 use crate::group::Refusal;
 use crate::routing::{Requirement, read_requirement};
-use crate::state::sleep_ms;
 use crate::stats::ReadLabels;
 use crate::{
     Command, Conn, ConnError, ErrorKind, Freshness, Group, Member, PreparedStatement, Rank, Reply,
@@ -383,7 +382,7 @@
 pub async fn run_single(
     cx: &StatementContext<'_>,
     task: &StatementTask<'_>,
-    vars: &crate::session::SessionVars,
+    vars: &crate::statement::SessionVars,
 ) -> Reply {
     let mut attempts = Attempts::default();
     loop {
--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -4,17 +4,15 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use base::{Event, Ms, emit};
+use base::{Event, Ms, emit, sleep_ms};
 
+use super::control::{COMMAND_TIMEOUT_MS, open_control_conn};
 use super::old_primary::OldPrimary;
-use crate::state::sleep_ms;
 use crate::{
     ChangeRecord, Claim, Command, Conn, ConnError, Demotion, FenceHold, FenceReport, FencingToken,
     Group, LastPrimary, Member, MemberKey, Promotion, Proxy, Role, Status,
 };
 
-/// Timeout of a control command to a member, in ms.
-pub(super) const COMMAND_TIMEOUT_MS: u64 = 400;
 /// Interval between two rounds while the old primary's log is longer than all others, in ms.
 const UNCOVERED_RETRY_MS: u64 = 100;
 /// Interval between two questions to the candidate whether it is primary, in ms.
@@ -436,32 +434,3 @@
     };
     Ok((conn, status, report))
 }
-
-/// Takes a connection for control commands from the pool, or opens one.
-pub(super) async fn open_control_conn(
-    group: &Group,
-    member: &Rc<Member>,
-) -> Result<Conn, ConnError> {
-    match group.control_conn(member).await {
-        Ok(conn) => Ok(conn),
-        // Sessions hold all connections; a control command justifies another one.
-        Err(_) => group.connect(member).await,
-    }
-}
-
-/// Sends one control command to a member and returns its status.
-///
-/// # Errors
-/// As `Group::connect` and `Group::send_control`.
-pub(super) async fn send_command(
-    group: &Rc<Group>,
-    member: &Rc<Member>,
-    command: &Command<'_>,
-) -> Result<Status, ConnError> {
-    let mut conn = open_control_conn(group, member).await?;
-    let status = group
-        .send_control(&mut conn, command, COMMAND_TIMEOUT_MS)
-        .await?;
-    group.release(conn);
-    Ok(status)
-}
--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -7,15 +7,16 @@
 //! is promoted.
 
 mod change;
+mod control;
 mod old_primary;
 
 use std::rc::Rc;
 
-use base::{Event, Ms, emit};
+use base::{Event, Ms, emit, sleep_ms};
 
-use crate::state::sleep_ms;
 use crate::{Command, FailoverCause, Group, Member, Proxy, Release, detect_failure};
-use change::{AbortReason, PrimaryChange, send_command};
+use change::{AbortReason, PrimaryChange};
+use control::send_command;
 
 /// Interval between two checks of the primary, in ms.
 const POLL_INTERVAL_MS: u64 = 50;
--- a/crates/proxy/src/failover/old_primary.rs
+++ b/crates/proxy/src/failover/old_primary.rs
@@ -6,10 +6,9 @@
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
-use base::{Ms, Signal};
+use base::{Ms, Signal, sleep_ms};
 
-use super::change::{COMMAND_TIMEOUT_MS, open_control_conn};
-use crate::state::sleep_ms;
+use super::control::{COMMAND_TIMEOUT_MS, open_control_conn};
 use crate::{Command, Conn, ConnError, Demotion, Group, Member, Role, Status};
 
 /// Interval between two commands to the old primary, in ms.
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -11,10 +11,9 @@
 use schema::Pos;
 
 use crate::failure_detector::PrimaryHealth;
-use crate::tunnel::Peers;
 use crate::{
-    Codec, GroupRule, History, LastPrimary, Lease, Member, MemberKey, MemberRecord, ProbeResult,
-    Reply, Role, Route, ServiceTime, Settings, Status,
+    Codec, GroupRule, History, LastPrimary, Lease, Member, MemberKey, MemberRecord, Peers,
+    ProbeResult, Reply, Role, Route, ServiceTime, Settings, Status,
 };
 
 use queue_stats::QueueStats;
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -4,12 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Event, Ms, emit};
+use base::{Event, Ms, emit, sleep_ms};
 use bytes::BytesMut;
 use link::BufferedStream;
 
 use crate::session::{Session, SessionEvent, read_request};
-use crate::state::sleep_ms;
 use crate::{ErrorKind, Proxy, Reply, Request, tunnel};
 
 /// Timeout of one wait for the caller's first message. A caller that sends none is waited for
--- a/crates/proxy/src/health_check.rs
+++ b/crates/proxy/src/health_check.rs
@@ -2,9 +2,8 @@
 
 use std::rc::Rc;
 
-use base::Ms;
+use base::{Ms, sleep_ms};
 
-use crate::state::sleep_ms;
 use crate::{Command, ConnError, Group, Member, Role, renewal_interval_ms};
 
 /// Interval between two rounds of the health check, in ms.
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -27,7 +27,7 @@
 use base::Ms;
 
 use crate::Role;
-use crate::member::MemberKey;
+use crate::member_key::MemberKey;
 
 /// Time for which a primary change keeps all replicas fenced before it orders the promotion, in ms.
 pub const FENCE_DURATION_MS: u64 = 900;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod codec;
 mod config_push;
+mod configure;
 mod conn;
 mod exec;
 mod failover;
+mod failover_api;
 mod failure_detector;
 mod fence;
 mod group;
@@ -19,13 +21,17 @@
 mod lag_backoff;
 mod lease;
 mod member;
+mod member_key;
 mod member_record;
+mod outcome;
 mod ownership;
+mod peers;
 mod queue;
 mod reply;
 mod routing;
 mod service_time;
 mod session;
+mod settings;
 mod shedding;
 mod state;
 mod statement;
@@ -36,6 +42,10 @@
 
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
 pub use conn::{Conn, ConnError};
+pub use failover_api::{
+    AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Promotion,
+    Release,
+};
 pub use failure_detector::{FailoverCause, PrimaryHealth, detect_failure};
 pub use fence::{Demotion, FenceHold, FenceReport};
 pub use group::{Group, RouteKey};
@@ -44,18 +54,18 @@
 pub use history::History;
 pub use lag_backoff::LagBackoff;
 pub use lease::{Lease, ProbeResult, renewal_interval_ms};
-pub use member::{Member, MemberKey};
+pub use member::Member;
+pub use member_key::MemberKey;
 pub use member_record::MemberRecord;
 pub use ownership::{Candidate, owners};
+pub use peers::{Peer, Peers};
 pub use queue::{Rank, is_servable};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
 pub use schema::{Config, Freshness, GroupRule, Route};
 pub use service_time::ServiceTime;
+pub use settings::Settings;
 pub use shedding::{Demand, admitted_parts};
-pub use state::{
-    AsyncCall, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Promotion, Proxy,
-    Release, Settings,
-};
+pub use state::Proxy;
 pub use statement::{PreparedStatement, Request, Statement, Verb};
 pub use stats::{Outcome, ReadLabels, StatementLabels, Stats};
 pub use throughput::{Load, Throughput};
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -6,7 +6,7 @@
 use base::Ms;
 use schema::Pos;
 
-use crate::{Conn, LagBackoff, MemberRecord, ProbeResult, Role, Status};
+use crate::{Conn, LagBackoff, MemberKey, MemberRecord, ProbeResult, Role, Status};
 
 /// Weight of the newest sample in the mean latency.
 const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
@@ -19,20 +19,6 @@
 /// Longest time from the choice of a member until a statement has reached it, in ms.
 const DRAIN_MARGIN_MS: u64 = 1000;
 
-/// Identifies a member within one daemon; never reused for another member.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct MemberKey(pub u64);
-
-thread_local! {
-    static NEXT_KEY: Cell<u64> = const { Cell::new(0) };
-}
-
-impl MemberKey {
-    fn next() -> MemberKey {
-        MemberKey(NEXT_KEY.replace(NEXT_KEY.get() + 1))
-    }
-}
-
 /// A member of a group.
 pub struct Member {
     pub key: MemberKey,
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -3,7 +3,7 @@
 use base::Ms;
 use schema::{Freshness, Pos, Route};
 
-use crate::member::MemberKey;
+use crate::member_key::MemberKey;
 use crate::{History, Member, Role};
 
 /// Factor on the cost of the primary; spares it for statements that only it can run.
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -10,15 +10,14 @@
 use schema::Pos;
 
 use crate::exec::{StatementContext, StatementTask, run_single};
+use crate::outcome::record_outcome;
+use crate::statement::SessionVars;
 use crate::transaction::Transaction;
 use crate::{
     Codec, ErrorKind, PreparedStatement, Proxy, Reply, ReplyEnd, Request, Statement, TxState, Verb,
     WireError,
 };
 
-/// Session variables by name, each with the statement text that set it.
-pub type SessionVars = BTreeMap<Box<str>, Box<str>>;
-
 /// One caller's session.
 pub struct Session {
     /// VM that handed the session off to this daemon; `None` when the caller connected here.
@@ -320,7 +319,7 @@
         };
         let cx = StatementContext::new(&group, &route, self.last_write, arrival);
         let reply = tx.commit(&cx, &task, &self.vars).await;
-        proxy.record_outcome(&cx, &task, &reply);
+        record_outcome(proxy, &cx, &task, &reply);
         self.record_position(&reply, true);
         self.with_session_state(reply)
     }
@@ -334,7 +333,7 @@
             Some(tx) => tx.run(&cx, &task, &self.vars).await,
             None => run_single(&cx, &task, &self.vars).await,
         };
-        proxy.record_outcome(&cx, &task, &reply);
+        record_outcome(proxy, &cx, &task, &reply);
         if self.tx.is_some() && reply.error_kind().is_some() {
             self.tx = None;
             self.tx_in_doubt = reply.error_kind() == Some(ErrorKind::InDoubt);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -2,100 +2,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 
-use base::{Event, Ms, Signal, emit};
+use base::{Ms, Signal, sleep_ms};
 
-use schema::Pos;
-
-use crate::exec::{StatementContext, StatementTask};
-use crate::stats::StatementLabels;
-use crate::tunnel::{self, Peer, Peers};
 use crate::{
-    Candidate, Codec, Config, ErrorKind, Group, MemberRecord, Outcome, Reply, Route, Stats,
-    config_push, failover, health_check, owners,
+    Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers, Route, Settings, Stats,
+    owners, tunnel,
 };
 
-/// Number that grows with every claim to change the primary of a group.
-pub type FencingToken = u64;
-/// Boxed future of the answer to an asynchronous call.
-pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T>>>;
-
-/// Asynchronous call to something outside this crate.
-pub type AsyncCall<Q, A> = Box<dyn Fn(Q) -> BoxFuture<A>>;
-
-/// Order to promote a member.
-pub struct Promotion {
-    pub group: Box<str>,
-    pub member: Box<str>,
-    /// Fencing token of the claim under which the promotion is ordered.
-    pub token: FencingToken,
-}
-
-/// What the holders of a group's claim leave for each other when a change fails.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct ChangeRecord {
-    /// Identifiers of members that have left and may have taken acknowledged commits along.
-    pub departed: Vec<Box<str>>,
-    /// The last primary, if it was seen demoted.
-    pub last_primary: Option<LastPrimary>,
-}
-
-/// A demoted primary, whose log contains every commit that was confirmed to it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct LastPrimary {
-    pub id: Box<str>,
-    /// End of its log when it was seen demoted.
-    pub pos: Pos,
-}
-
-/// The right to change the primary of a group.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Claim {
-    pub token: FencingToken,
-    /// As the former holder of the claim has left it.
-    pub record: ChangeRecord,
-}
-
-/// The end of a claim.
-pub struct Release {
-    pub group: Box<str>,
-    /// What the next holder finds in `Claim::record`.
-    pub record: ChangeRecord,
-}
-
-/// Calls by which a primary change is claimed and ordered.
-pub struct FailoverApi {
-    /// Claims the right to change the primary of a group; `None` when another daemon holds it, or
-    /// the claim failed.
-    pub claim: AsyncCall<Box<str>, Option<Claim>>,
-    /// Releases the claim on a group after a primary change.
-    pub release: AsyncCall<Release, ()>,
-    /// Orders a promotion; false if it was certainly not accepted.
-    pub promote: AsyncCall<Promotion, bool>,
-    /// Reads the members of a group that the platform lists at the time of the call; `None` when
-    /// they cannot be read.
-    pub list_members: AsyncCall<Box<str>, Option<Vec<MemberRecord>>>,
-}
-
-/// Settings of one daemon.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Name of its VM.
-    pub name: Box<str>,
-    /// Data centre of its VM.
-    pub data_center: Box<str>,
-    /// Number of open sessions beyond which this daemon refuses to serve a further one.
-    pub max_callers: u64,
-    /// Time for which a member takes new statements after it has announced that it leaves, in ms.
-    pub drain_ms: u64,
-    /// Longest time from when a member joins its group until the platform lists it, in ms.
-    pub listing_delay_ms: u64,
-}
-
 /// One daemon.
 pub struct Proxy {
     pub settings: Settings,
@@ -127,7 +43,7 @@
     pub stop_signal: Signal,
     /// Records of members whose group is in no configuration yet, and the instant after which each
     /// was written, by member identifier.
-    pending_members: RefCell<HashMap<Box<str>, (MemberRecord, Ms)>>,
+    pub(crate) pending_members: RefCell<HashMap<Box<str>, (MemberRecord, Ms)>>,
 }
 
 impl Proxy {
@@ -152,53 +68,6 @@
         })
     }
 
-    /// Puts a configuration in force, unless this version or a newer one already is.
-    pub fn configure(self: &Rc<Self>, config: Config) {
-        if config.version <= self.config_version.get() {
-            return;
-        }
-        for rule in &config.groups {
-            self.add_group(rule);
-        }
-        config_push::push_to_peers(self, &config);
-        let routes: HashMap<_, _> = config
-            .routes
-            .into_iter()
-            .map(|r| (r.database.clone(), Rc::new(r)))
-            .collect();
-        emit(
-            Event::GatewayConfigInForce,
-            &[
-                ("version", &config.version),
-                ("before", &self.config_version.get()),
-                ("routes", &routes.len()),
-            ],
-        );
-        self.routes.replace(routes);
-        self.update_ownership();
-        self.tx_idle_ms.set(config.tx_idle);
-        self.config_version.set(config.version);
-    }
-
-    fn add_group(self: &Rc<Self>, rule: &crate::GroupRule) {
-        let known = self.groups.borrow().get(&rule.name).cloned();
-        if let Some(group) = known {
-            group.rule.replace(rule.clone());
-            return;
-        }
-        let group = Group::new(rule.clone(), &self.settings, self.codec, &self.peers);
-        self.groups
-            .borrow_mut()
-            .insert(rule.name.clone(), group.clone());
-        let mut pending = self.pending_members.borrow_mut();
-        for (record, earliest) in pending.values().filter(|(r, _)| r.group == rule.name) {
-            group.update_member(&record.id, Some(record), *earliest);
-        }
-        pending.retain(|_, (r, _)| r.group != rule.name);
-        monoio::spawn(health_check::run(group.clone()));
-        monoio::spawn(failover::run(self.clone(), group));
-    }
-
     /// Adds a member, or updates its record, which was written after `earliest`.
     pub fn add_member(&self, record: &MemberRecord, earliest: Ms) {
         let group = self.groups.borrow().get(&record.group).cloned();
@@ -252,61 +121,6 @@
         sums.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
     }
 
-    /// Logs the outcome of a statement and updates the metrics.
-    pub(crate) fn record_outcome(
-        &self,
-        cx: &StatementContext,
-        task: &StatementTask,
-        reply: &Reply,
-    ) {
-        let took = task.arrival.elapsed();
-        let outcome = match reply.error_kind() {
-            None => Outcome::Served,
-            Some(ErrorKind::InDoubt) => Outcome::InDoubt,
-            Some(kind) if kind.is_not_run() || kind == ErrorKind::Aborted => Outcome::NotRun,
-            Some(_) => Outcome::Failed,
-        };
-        let labels = StatementLabels {
-            group: cx.group.name.to_string(),
-            outcome,
-            write: if task.write { "true" } else { "false" },
-        };
-        self.stats.statements.get_or_create(&labels).inc();
-        self.stats.latency.observe(histogram_sample(took));
-        self.stats.wait.observe(histogram_sample(cx.wait_ms.get()));
-        self.stats.retries.inc_by(cx.retries.get());
-        let labels = cx.read_labels.borrow();
-        if let Some(labels) = labels.as_ref()
-            && outcome == Outcome::Served
-            && !task.write
-        {
-            self.stats.reads.get_or_create(labels).inc();
-        }
-        emit(
-            if outcome == Outcome::Served {
-                Event::StatementServed
-            } else {
-                Event::StatementNotServed
-            },
-            &[
-                ("id", &task.statement.id),
-                ("database", &cx.route.database),
-                ("outcome", &format!("{outcome:?}")),
-                (
-                    "kind",
-                    &reply
-                        .error_kind()
-                        .map_or(String::new(), |k| format!("{k:?}")),
-                ),
-                ("member", &cx.member.borrow()),
-                ("pos", &reply.pos.unwrap_or(Pos::ZERO)),
-                ("config", &self.config_version.get()),
-                ("waited_ms", &cx.wait_ms.get()),
-                ("took_ms", &took),
-            ],
-        );
-    }
-
     /// Whether other daemons may tunnel to an address: it is that of a listed member from which
     /// this VM has received input lately.
     pub fn may_tunnel_to(&self, addr: SocketAddr) -> bool {
@@ -417,11 +231,3 @@
 const MAX_TUNNEL_SILENCE_MS: u64 = 800;
 /// Interval between two checks for the first configuration and the first list of peers, in ms.
 const STARTUP_POLL_INTERVAL_MS: u64 = 20;
-
-fn histogram_sample(ms: u64) -> f64 {
-    f64::from(u32::try_from(ms).unwrap_or(u32::MAX))
-}
-
-pub(crate) async fn sleep_ms(ms: u64) {
-    monoio::time::sleep(std::time::Duration::from_millis(ms)).await;
-}
--- a/crates/proxy/src/statement.rs
+++ b/crates/proxy/src/statement.rs
@@ -1,5 +1,10 @@
 //! Decoded messages of callers.
 
+use std::collections::BTreeMap;
+
+/// Session variables by name, each with the statement text that set it.
+pub type SessionVars = BTreeMap<Box<str>, Box<str>>;
+
 /// Kind of a statement, with its parameters; decides where it may run and whether it may be
 /// retried.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -7,7 +7,7 @@
 
 use crate::exec::{Attempts, RetryDecision, StatementContext, StatementTask, remove_pending_write};
 use crate::routing::Requirement;
-use crate::session::SessionVars;
+use crate::statement::SessionVars;
 use crate::{Command, Conn, ConnError, ErrorKind, Group, Reply, TxState};
 
 /// Timeout for `BEGIN`, for the set-up commands before it, and for `ROLLBACK` on a member.
--- /dev/null
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -0,0 +1,120 @@
+//! Requests to other daemons.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Event, emit, sleep_ms};
+use link::BufferedStream;
+use monoio::net::TcpStream;
+use quick_error::quick_error;
+
+use super::{
+    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, STOP_PREFIX, with_peer_timeout,
+};
+use crate::Peer;
+
+/// Attempts to announce the stop to one daemon.
+const MAX_STOP_ATTEMPTS: usize = 8;
+/// Delay between two attempts to announce the stop.
+const STOP_RETRY_DELAY_MS: u64 = 250;
+
+/// Opens a tunnel to a member through the first daemon that can reach it.
+///
+/// # Errors
+/// The error of the last attempt when every daemon fails, `NotFound` when `peers` is empty.
+pub(crate) async fn open(peers: &[Peer], member: SocketAddr) -> Result<BufferedStream, PeerError> {
+    let mut last_error = io::Error::from(io::ErrorKind::NotFound).into();
+    for peer in peers {
+        match connect_to_peer(peer.addr, &member.to_string()).await {
+            Ok(link) => return Ok(link),
+            Err(e) => last_error = e,
+        }
+    }
+    Err(last_error)
+}
+
+quick_error! {
+    /// Why a daemon opened no connection for a target.
+    #[derive(Debug)]
+    pub enum PeerError {
+        Io(e: io::Error) { from() display("{e}") }
+        /// The daemon answered that it does not serve this target.
+        Refused { display("refused by the daemon") }
+    }
+}
+
+impl From<PeerError> for io::Error {
+    fn from(e: PeerError) -> io::Error {
+        match e {
+            PeerError::Io(e) => e,
+            PeerError::Refused => io::Error::new(io::ErrorKind::ConnectionRefused, e.to_string()),
+        }
+    }
+}
+
+/// Opens a connection to a daemon for a target, with HTTP `CONNECT`.
+///
+/// # Errors
+/// `PeerError::Refused` when the daemon refuses; `PeerError::Io` with `InvalidData` when the
+/// response head is too long or cut off, with `TimedOut` when it does not arrive in time, otherwise
+/// with the error of the connection.
+pub(super) async fn connect_to_peer(
+    peer: SocketAddr,
+    target: &str,
+) -> Result<BufferedStream, PeerError> {
+    let timeout = Duration::from_millis(PEER_IO_TIMEOUT_MS);
+    let result = monoio::time::timeout(timeout, request_target(peer, target)).await;
+    result.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
+}
+
+async fn request_target(peer: SocketAddr, target: &str) -> Result<BufferedStream, PeerError> {
+    let mut link = BufferedStream::new(TcpStream::connect_addr(peer).await?)?;
+    let head = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
+    link.send(head.as_bytes()).await?;
+    while !link.input.ends_with(HEAD_END) {
+        if link.input.len() > MAX_HEAD_BYTES || link.read_more().await? == 0 {
+            return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+        }
+    }
+    if !link.input.starts_with(b"HTTP/1.1 200") {
+        return Err(PeerError::Refused);
+    }
+    link.input.clear();
+    Ok(link)
+}
+
+/// Pushes a configuration to a daemon, which accepts it only if its own is older.
+///
+/// # Errors
+/// Connection errors and timeouts; a refusal is no error.
+pub(crate) async fn push_config(peer: &Peer, version: u64, bytes: &[u8]) -> io::Result<()> {
+    let target = format!("{CONFIG_PREFIX}{version}");
+    let mut link = match connect_to_peer(peer.addr, &target).await {
+        Ok(link) => link,
+        Err(PeerError::Refused) => return Ok(()),
+        Err(PeerError::Io(e)) => return Err(e),
+    };
+    with_peer_timeout(async {
+        link.send(bytes).await?;
+        link.shut_down().await
+    })
+    .await
+}
+
+/// Requests daemons, each in a background task, to end the sessions that this VM handed off to
+/// them, each session once it is outside a transaction.
+pub fn announce_stop(peers: Vec<Peer>, vm: &str) {
+    for peer in peers {
+        let target = format!("{STOP_PREFIX}{vm}");
+        monoio::spawn(async move {
+            for _ in 0..MAX_STOP_ATTEMPTS {
+                match connect_to_peer(peer.addr, &target).await {
+                    Ok(_) => return,
+                    Err(e) => emit(Event::TunnelFailed, &[("peer", &peer.name), ("cause", &e)]),
+                }
+                sleep_ms(STOP_RETRY_DELAY_MS).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -0,0 +1,64 @@
+//! Connections between daemons. Each is opened with an HTTP `CONNECT`, whose target tells what it
+//! is for:
+//! - `IP:PORT`: a tunnel to the member at this address.
+//! - `session.VERSION.VM`: the hand-off of a caller's session to an owner of its group.
+//! - `config.VERSION`: the push of a configuration.
+//! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
+//!
+//! A daemon whose own network path to a member is cut reaches it through a tunnel over another
+//! daemon. Leases, fences and statements work as on a direct connection: the age of a probe result
+//! or position sample is counted from the sending of its request, so the delay of the tunnel cannot
+//! make it look newer.
+
+mod connect;
+mod hand_off;
+mod server;
+
+use std::io;
+use std::time::Duration;
+
+use monoio::io::AsyncReadRent;
+use monoio::net::TcpStream;
+
+pub use connect::announce_stop;
+pub(crate) use connect::{open, push_config};
+pub use hand_off::hand_off;
+pub use server::serve;
+
+/// Timeout for opening a connection to a daemon, including the response to `CONNECT`, or to the
+/// member behind a tunnel; also for sending a configuration and for each read of one.
+const PEER_IO_TIMEOUT_MS: u64 = 250;
+/// Longest HTTP head of a request or response.
+const MAX_HEAD_BYTES: usize = 1024;
+/// Ends an HTTP head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Prefix of the target for a session hand-off; `VERSION.VM` follows, which is the version of the
+/// configuration in force at the sender and the name of its VM.
+const SESSION_PREFIX: &str = "session.";
+/// Prefix of the target for a config push; the version follows. After the daemon has accepted it,
+/// the sender transmits the encoded configuration.
+const CONFIG_PREFIX: &str = "config.";
+/// Prefix of the target by which a VM announces that it stops; its name follows.
+const STOP_PREFIX: &str = "stop.";
+/// Response to an accepted request.
+const RESPONSE_OK: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
+
+async fn with_peer_timeout<T>(operation: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let result = monoio::time::timeout(Duration::from_millis(PEER_IO_TIMEOUT_MS), operation).await;
+    result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+async fn read_head(stream: &mut TcpStream) -> io::Result<String> {
+    let mut head = Vec::new();
+    let mut buf = vec![0; MAX_HEAD_BYTES];
+    while !head.ends_with(HEAD_END) {
+        let (result, returned_buf) = stream.read(buf).await;
+        let n = result?;
+        buf = returned_buf;
+        head.extend_from_slice(&buf[..n]);
+        if n == 0 || head.len() > MAX_HEAD_BYTES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
