--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -6,11 +6,11 @@
 
 use base::{Event, Ms, emit, sleep_ms};
 
-use super::control::{COMMAND_TIMEOUT_MS, open_control_conn};
+use super::control::{COMMAND_TIMEOUT_MS, ask, open_control_conn};
 use super::old_primary::OldPrimary;
 use crate::{
-    ChangeRecord, Claim, Command, Conn, ConnError, Demotion, FenceHold, FenceReport, FencingToken,
-    Group, LastPrimary, Member, MemberKey, Promotion, Proxy, Role, Status,
+    ChangeRecord, Claim, Command, Conn, ConnError, Demotion, FenceHold, FencingToken, Group,
+    LastPrimary, Member, MemberKey, Promotion, Proxy, Role, Status,
 };
 
 /// Interval between two rounds while the old primary's log is longer than all others, in ms.
@@ -391,46 +391,3 @@
         Ok(status)
     }
 }
-
-/// Asks a member for its state if it was fenced before, and fences it otherwise. `terms` are the
-/// term of the old primary and that of the change. A primary of an earlier term is demoted first,
-/// so that it can be fenced.
-///
-/// # Errors
-/// As `Group::send_control`; the connection is dropped.
-async fn ask(
-    group: Rc<Group>,
-    member: Rc<Member>,
-    conn: Option<Conn>,
-    fenced: bool,
-    (old_term, term): (u64, u64),
-) -> Result<(Conn, Status, FenceReport), ConnError> {
-    let mut conn = match conn {
-        Some(conn) => conn,
-        None => open_control_conn(&group, &member).await?,
-    };
-    let fence = Command::Fence { term };
-    let command = if fenced { &Command::Status } else { &fence };
-    let mut sent_at = Ms::now();
-    let mut status = group
-        .send_control(&mut conn, command, COMMAND_TIMEOUT_MS)
-        .await?;
-    if status.role == Role::Primary && status.term < old_term {
-        let demote = Command::Demote { term: old_term };
-        group
-            .send_control(&mut conn, &demote, COMMAND_TIMEOUT_MS)
-            .await?;
-        sent_at = Ms::now();
-        status = group
-            .send_control(&mut conn, &fence, COMMAND_TIMEOUT_MS)
-            .await?;
-    }
-    let report = FenceReport {
-        sent_at,
-        received_at: Ms::now(),
-        up_since: conn.opened_at,
-        fenced: status.fenced,
-        pos: status.received,
-    };
-    Ok((conn, status, report))
-}
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -1,7 +1,9 @@
 //! A group: its members, the lease on its primary, and its wait queue.
 
 mod conns;
+mod fence_set;
 mod queue_stats;
+mod routes;
 mod wait_queue;
 
 use std::cell::{Cell, RefCell};
@@ -12,12 +14,13 @@
 
 use crate::failure_detector::PrimaryHealth;
 use crate::{
-    Codec, GroupRule, History, LastPrimary, Lease, Member, MemberKey, MemberRecord, Peers,
-    ProbeResult, Reply, Role, Route, ServiceTime, Settings, Status,
+    Codec, GroupRule, History, Lease, Member, MemberRecord, Peers, ProbeResult, Reply, Role,
+    Settings, Status,
 };
 
 use queue_stats::QueueStats;
-pub use queue_stats::RouteKey;
+pub use routes::RouteKey;
+use routes::RouteStats;
 pub(crate) use wait_queue::Refusal;
 use wait_queue::Waiter;
 
@@ -29,21 +32,6 @@
 /// Time without an answer from which a member counts as unreachable from this VM, in ms.
 const UNREACHABLE_SILENCE_MS: u64 = 500;
 
-/// If the primary is still heard from this long after a member was removed, in ms, no primary change
-/// promotes that member any more.
-const REMOVED_MEMBER_SETTLE_MS: u64 = 1000;
-
-/// Service time assumed for a route before its first statements, in ms.
-const INITIAL_SERVICE_MS: f64 = 20.0;
-
-/// What is known of a route's reads or writes.
-struct RouteStats {
-    database: Box<str>,
-    write: bool,
-    priority: u64,
-    service_time: ServiceTime,
-}
-
 /// A group of replicated members.
 pub struct Group {
     pub name: Box<str>,
@@ -352,110 +340,12 @@
         }
     }
 
-    /// The key of a route's reads or writes.
-    pub fn route_key(&self, route: &Route, write: bool) -> RouteKey {
-        let mut routes = self.routes.borrow_mut();
-        let is_same = |r: &RouteStats| r.write == write && r.database == route.database;
-        let known = routes.iter().position(is_same);
-        let i = known.unwrap_or_else(|| {
-            routes.push(RouteStats {
-                database: route.database.clone(),
-                write,
-                priority: route.priority,
-                service_time: ServiceTime::default(),
-            });
-            routes.len() - 1
-        });
-        routes[i].priority = route.priority;
-        RouteKey(i)
-    }
-
-    /// Priority of a route, and the time that its statements take at best, in ms.
-    fn route_cost(&self, key: RouteKey) -> (u64, f64) {
-        let routes = self.routes.borrow();
-        let route = &routes[key.0];
-        let service = route.service_time.best_ms().unwrap_or(INITIAL_SERVICE_MS);
-        (route.priority, service)
-    }
-
-    /// Records that a statement of a route was run at a member.
-    pub fn on_service(&self, member: &Member, key: RouteKey, took_ms: u64) {
-        member.record_latency(took_ms, Ms::now());
-        let took_ms = f64::from(u32::try_from(took_ms).unwrap_or(u32::MAX));
-        self.routes.borrow_mut()[key.0].service_time.record(took_ms);
-    }
-
-    /// Records the position that the primary reported in answer to a request sent at `sent_at` for
-    /// the members that had been removed by then.
-    fn record_final_pos(&self, sent_at: Ms, pos: Pos) {
-        for member in self.members.borrow().iter().filter(|m| m.removed.get()) {
-            if member.final_pos.get().is_none() && member.removed_at.get() < sent_at {
-                member.final_pos.set(Some(pos));
-            }
-        }
-    }
-
     /// Assigns idle connections to waiters, and notifies tasks of a change of the group's state.
     pub fn notify(&self) {
         self.dispatch();
         self.changed.notify();
     }
 
-    /// Members that every primary change fences, and one of which it promotes: all but the primary
-    /// and those that were removed long before the primary was last heard from.
-    fn lease_replicas(&self) -> Vec<MemberKey> {
-        let primary = self.primary();
-        let last_heard = primary.as_ref().map_or(Ms(0), |p| p.last_heard.get());
-        let is_settled = |m: &Member| {
-            m.removed.get() && m.removed_at.get().plus(REMOVED_MEMBER_SETTLE_MS) < last_heard
-        };
-        let members = self.members.borrow();
-        let replicas = members
-            .iter()
-            .filter(|m| primary.as_ref().is_none_or(|p| p.key != m.key));
-        replicas.filter(|m| !is_settled(m)).map(|m| m.key).collect()
-    }
-
-    /// Whether a listed member other than the primary has received a position.
-    fn is_held(&self, pos: Pos, primary: Option<&Rc<Member>>) -> bool {
-        let members = self.members.borrow();
-        let is_replica = |m: &Rc<Member>| primary.is_none_or(|p| p.key != m.key);
-        let mut replicas = members.iter().filter(|m| !m.removed.get() && is_replica(m));
-        replicas.any(|m| m.log_end() >= pos)
-    }
-
-    /// Whether the listed replicas are known to hold every commit that was confirmed before this
-    /// daemon started, so that no member that it has never known matters for a primary change.
-    pub fn is_past_held(&self, primary: Option<&Rc<Member>>) -> bool {
-        let first_pos = self.first_pos.get();
-        first_pos.is_some_and(|pos| self.is_held(pos, primary))
-    }
-
-    /// The last primary that this daemon knows of, if it is listed and has reported to be a replica
-    /// with the log that it had.
-    pub fn demoted_primary(&self) -> Option<LastPrimary> {
-        let (id, _) = self.last_primary.borrow().clone()?;
-        let member = self.member(&id).filter(|m| !m.removed.get())?;
-        let is_replica = member.last_probe.get()?.role == Role::Replica;
-        let received = member.status.get()?.received;
-        let has_log = received >= member.pos.get();
-        (is_replica && has_log).then_some(LastPrimary { id, pos: received })
-    }
-
-    /// Members that a primary change must fence, since each may have confirmed a commit of the
-    /// primary that no other member has: all but the primary and the removed members whose commits
-    /// another replica is known to hold.
-    pub fn fence_set(&self, primary: Option<&Rc<Member>>) -> Vec<Rc<Member>> {
-        let members = self.members.borrow();
-        let is_replica = |m: &Rc<Member>| primary.is_none_or(|p| p.key != m.key);
-        let is_held = |pos| self.is_held(pos, primary);
-        let is_in_fence_set = |m: &&Rc<Member>| {
-            let is_settled = m.removed.get() && m.final_pos.get().is_some_and(is_held);
-            is_replica(m) && !is_settled
-        };
-        members.iter().filter(is_in_fence_set).cloned().collect()
-    }
-
     /// Resets the silence and the unreachability of all members, so that a stall of this process is
     /// not taken for a failure of the members.
     pub fn reset_failure_signs(&self) {
--- a/crates/proxy/src/group/queue_stats.rs
+++ b/crates/proxy/src/group/queue_stats.rs
@@ -5,6 +5,7 @@
 
 use base::Ms;
 
+use super::routes::RouteKey;
 use crate::shedding::{Demand, admitted_parts};
 use crate::{Load, Throughput};
 
@@ -22,10 +23,6 @@
     Control,
 }
 
-/// Identifies a route's reads or writes within a group.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RouteKey(pub usize);
-
 /// Arrivals of one route in one class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Arrivals {
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -7,7 +7,8 @@
 use base::{Ms, Signal};
 
 use super::Group;
-use super::queue_stats::{Class, RouteKey};
+use super::queue_stats::Class;
+use super::routes::RouteKey;
 use crate::routing::{Requirement, cost};
 use crate::{Conn, Member, Rank, is_servable};
 
