--- a/crates/proxy/src/health_check.rs
+++ b/crates/proxy/src/health_check.rs
@@ -10,10 +10,10 @@
 const CHECK_INTERVAL_MS: u64 = 100;
 /// As `CHECK_INTERVAL_MS`, while the members are just being found and only a second report of each
 /// is missing for the lease.
-const SETTLING_INTERVAL_MS: u64 = 20;
+const SETTLING_INTERVAL_MS: u64 = 50;
 /// Time after a start or a change of primary for which the shorter interval applies, in ms: where the
 /// lease does not follow within this time, asking more often does not help.
-const SETTLING_TIME_MS: u64 = 600;
+const SETTLING_TIME_MS: u64 = 300;
 /// Timeout of a health probe, in ms.
 const PROBE_TIMEOUT_MS: u64 = 400;
 /// Age at which the probe result of the primary, which the lease does not need, is renewed, in ms.
