A last primary counts only while no later term is known

It counts now only if the newest known term is the one that it led; one on record only if its log reaches the newest known term.

Test: the third case of the_log_of_the_last_primary_replaces_a_departed_member (record of term 0). It was not run against the former code, which by reading would have ordered a promotion there.

--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -110,9 +110,13 @@
     /// Whether one of these members is the last primary, demoted, with the log that it had. Its log
     /// contains whatever members that have left took along.
     fn has_last_primary(&self, members: &[Rc<Member>]) -> bool {
+        // One on record may have been followed by another since.
+        let recorded = self.record.last_primary.as_ref();
+        let recorded = recorded.filter(|last| last.pos.term >= self.group.newest_term());
         let known = self.group.demoted_primary();
-        let known = known.or_else(|| self.record.last_primary.clone());
-        let Some(last) = known else { return false };
+        let Some(last) = known.or_else(|| recorded.cloned()) else {
+            return false;
+        };
         let is_last = |m: &Rc<Member>| {
             let received = m.status.get().map(|s| s.received);
             m.id == last.id && !m.removed.get() && received.is_some_and(|pos| pos >= last.pos)
--- a/crates/proxy/src/group/fence_set.rs
+++ b/crates/proxy/src/group/fence_set.rs
@@ -53,10 +53,13 @@
         first_pos.is_some_and(|pos| self.is_held(pos, primary))
     }
 
-    /// The last primary that this daemon knows of, if it is listed and has reported to be a replica
-    /// with the log that it had.
+    /// The last primary that this daemon knows of, if no later term is known and it is listed and has
+    /// reported to be a replica with the log that it had.
     pub fn demoted_primary(&self) -> Option<LastPrimary> {
-        let (id, _) = self.last_primary.borrow().clone()?;
+        let (id, term) = self.last_primary.borrow().clone()?;
+        if term < self.newest_term() {
+            return None;
+        }
         let member = self.member(&id).filter(|m| !m.removed.get())?;
         let is_replica = member.last_probe.get()?.role == Role::Replica;
         let received = member.status.get()?.received;
