--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -61,6 +61,7 @@
 pub use peers::{Peer, Peers};
 pub use queue::{Rank, is_servable};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
+pub use routing::cost;
 pub use schema::{Config, Freshness, GroupRule, Route};
 pub use service_time::ServiceTime;
 pub use settings::Settings;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -223,7 +223,7 @@
     }
 
     /// Records that a request is about to be sent.
-    pub(crate) fn on_request(&self, now: Ms) {
+    pub fn on_request(&self, now: Ms) {
         if self.in_flight.replace(self.in_flight.get() + 1) == 0 {
             self.silent_since.set(now);
         }
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -4,7 +4,7 @@
 use property::check_property;
 use proxy::{
     FailoverCause, History, LagBackoff, Lease, Load, Member, MemberKey, MemberRecord,
-    PrimaryHealth, ProbeResult, Rank, Role, check_interval_ms, detect_failure, is_servable,
+    PrimaryHealth, ProbeResult, Rank, Role, check_interval_ms, cost, detect_failure, is_servable,
     renewal_interval_ms,
 };
 use quickcheck::TestResult;
@@ -480,3 +480,18 @@
     assert_eq!(check_interval_ms(false, 300), 100);
     assert_eq!(check_interval_ms(true, 0), 100);
 }
+
+/// Guards against reads that leave the data centre as soon as one statement is under way at the local
+/// member, which costs bytes between data centres on every day; a member that is really busy must not
+/// keep them.
+#[test]
+fn a_local_member_is_left_only_for_one_that_answers_in_half_the_time() {
+    let (local, remote) = (member(), member());
+    remote.record.borrow_mut().data_center = "other".into();
+    let is_local_cheaper = || cost(&local, "z", Ms(0)) < cost(&remote, "z", Ms(0));
+    local.on_request(Ms(0));
+    assert!(is_local_cheaper());
+    local.on_request(Ms(0));
+    local.on_request(Ms(0));
+    assert!(!is_local_cheaper());
+}
