--- a/crates/proxy/src/configure.rs
+++ b/crates/proxy/src/configure.rs
@@ -30,6 +30,7 @@
                 ("routes", &routes.len()),
             ],
         );
+        self.accounts.replace(config.accounts.as_deref());
         self.routes.replace(routes);
         self.update_ownership();
         self.tx_idle_ms.set(config.tx_idle);
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -64,7 +64,7 @@
             }
         }
     });
-    let Ok(Some(Request::Connect { database })) = request.await else {
+    let Ok(Some(Request::Connect { database, .. })) = request.await else {
         return Err(link);
     };
     let deadline = Ms::now().plus(STARTUP_WAIT_MS);
@@ -109,7 +109,7 @@
 ) -> Option<Session> {
     let wait = Duration::from_millis(HANDSHAKE_TIMEOUT_MS);
     let request = monoio::time::timeout(wait, read_request(proxy.codec, link));
-    let Ok(SessionEvent::Request(Request::Connect { database })) = request.await else {
+    let Ok(SessionEvent::Request(Request::Connect { database, .. })) = request.await else {
         return refuse(
             proxy,
             link,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,10 +5,12 @@
 //! and are called by the code that uses sockets. The crate depends on no wire protocol and on no
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
+mod accounts;
 mod codec;
 mod config_push;
 mod configure;
 mod conn;
+mod credential;
 mod exec;
 mod failover;
 mod failover_api;
@@ -40,8 +42,10 @@
 mod transaction;
 pub mod tunnel;
 
+pub use accounts::{AccountKey, Accounts, Identity};
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
 pub use conn::{Conn, ConnError};
+pub use credential::Credential;
 pub use failover_api::{
     AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Promotion,
     Release,
@@ -62,7 +66,7 @@
 pub use queue::{Rank, is_servable};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
 pub use routing::cost;
-pub use schema::{Config, Freshness, GroupRule, Route};
+pub use schema::{Account, Config, Freshness, GroupRule, Route};
 pub use service_time::ServiceTime;
 pub use settings::Settings;
 pub use shedding::{Demand, admitted_parts};
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,8 +8,8 @@
 use base::{Ms, Signal, sleep_ms};
 
 use crate::{
-    Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers, Route, Settings, Stats,
-    owners, tunnel,
+    Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers, Route, Settings,
+    Stats, owners, tunnel,
 };
 
 /// One daemon.
@@ -25,6 +25,8 @@
     pub routes: RefCell<HashMap<Box<str>, Rc<Route>>>,
     /// Groups by name.
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
+    /// Client accounts of the configuration in force.
+    pub accounts: Accounts,
     /// Time after which an idle transaction is rolled back, in ms.
     pub tx_idle_ms: Cell<u64>,
     /// The other daemons.
@@ -56,6 +58,7 @@
             config_version: Cell::new(0),
             routes: RefCell::default(),
             groups: RefCell::default(),
+            accounts: Accounts::default(),
             tx_idle_ms: Cell::new(u64::MAX),
             peers: Rc::default(),
             stats: Stats::default(),
--- a/crates/proxy/src/statement.rs
+++ b/crates/proxy/src/statement.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::Credential;
+
 /// Session variables by name, each with the statement text that set it.
 pub type SessionVars = BTreeMap<Box<str>, Box<str>>;
 
@@ -65,7 +67,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Request {
     /// Opens a session on a database.
-    Connect { database: Box<str> },
+    Connect {
+        database: Box<str>,
+        /// `None` when the caller has sent none, or one that is malformed.
+        credential: Option<Credential>,
+    },
     /// Runs a statement.
     Run(Statement),
     /// Message that cannot be interpreted; the session goes on after an error reply.
