Sessions and statements carry the identity of their caller

Cause: the parts for connections, rates and revocation all need it, and are built side by side. Change: Session and StatementContext hold an Option<Identity>, None for now.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -10,8 +10,8 @@
 use crate::routing::{Requirement, read_requirement};
 use crate::stats::ReadLabels;
 use crate::{
-    Command, Conn, ConnError, ErrorKind, Freshness, Group, Member, PreparedStatement, Rank, Reply,
-    Role, Route, Statement,
+    Command, Conn, ConnError, ErrorKind, Freshness, Group, Identity, Member, PreparedStatement,
+    Rank, Reply, Role, Route, Statement,
 };
 
 /// Time for which a member that replied `Busy` is given no reads that any member may serve.
@@ -95,6 +95,8 @@
 pub struct StatementContext<'a> {
     pub group: &'a Rc<Group>,
     pub route: &'a Route,
+    /// Whom the session belongs to.
+    pub identity: Option<Identity>,
     /// Newest position in the replies to the session's successful commits and writes outside
     /// transactions.
     pub last_write: Pos,
@@ -113,12 +115,14 @@
     pub fn new(
         group: &'a Rc<Group>,
         route: &'a Route,
+        identity: Option<Identity>,
         last_write: Pos,
         arrival: Ms,
     ) -> StatementContext<'a> {
         StatementContext {
             group,
             route,
+            identity,
             last_write,
             deadline: arrival.plus(route.timeout),
             member: RefCell::default(),
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -127,7 +127,7 @@
     if proxy.route(&database).is_none() {
         return refuse(proxy, link, ErrorKind::NoDatabase, &database).await;
     }
-    let session = Session::new(origin, database);
+    let session = Session::new(origin, database, None);
     let mut out = BytesMut::new();
     (proxy.codec.reply)(&Reply::handshake_ok(), &mut out);
     link.send(&out).await.ok()?;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -14,8 +14,8 @@
 use crate::statement::SessionVars;
 use crate::transaction::Transaction;
 use crate::{
-    Codec, ErrorKind, PreparedStatement, Proxy, Reply, ReplyEnd, Request, Statement, TxState, Verb,
-    WireError,
+    Codec, ErrorKind, Identity, PreparedStatement, Proxy, Reply, ReplyEnd, Request, Statement,
+    TxState, Verb, WireError,
 };
 
 /// One caller's session.
@@ -23,6 +23,8 @@
     /// VM that handed the session off to this daemon; `None` when the caller connected here.
     origin: Option<Box<str>>,
     database: Box<str>,
+    /// `None` on public routes and where no client accounts are in force.
+    identity: Option<Identity>,
     vars: SessionVars,
     /// Prepared statements by the names that the caller gave them.
     prepared: BTreeMap<Box<str>, PreparedStatement>,
@@ -69,10 +71,15 @@
 }
 
 impl Session {
-    pub fn new(origin: Option<Box<str>>, database: Box<str>) -> Session {
+    pub fn new(
+        origin: Option<Box<str>>,
+        database: Box<str>,
+        identity: Option<Identity>,
+    ) -> Session {
         Session {
             origin,
             database,
+            identity,
             vars: SessionVars::new(),
             prepared: BTreeMap::new(),
             last_write: Pos::ZERO,
@@ -317,7 +324,7 @@
             write: false,
             arrival,
         };
-        let cx = StatementContext::new(&group, &route, self.last_write, arrival);
+        let cx = StatementContext::new(&group, &route, self.identity, self.last_write, arrival);
         let reply = tx.commit(&cx, &task, &self.vars).await;
         record_outcome(proxy, &cx, &task, &reply);
         self.record_position(&reply, true);
@@ -328,7 +335,8 @@
         let Some((route, group)) = proxy.route(&self.database) else {
             return self.with_session_state(Reply::error(ErrorKind::NoDatabase, &self.database));
         };
-        let cx = StatementContext::new(&group, &route, self.last_write, task.arrival);
+        let cx =
+            StatementContext::new(&group, &route, self.identity, self.last_write, task.arrival);
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &task, &self.vars).await,
             None => run_single(&cx, &task, &self.vars).await,
