Leaders on record: a group gets a primary after all daemons have restarted

Cause: a departed member on record stops a change of primary unless the last primary is known. Ruled out: taking the longest log for the leader's, since a departed member may have led a later term; and dropping the departed member from the record, which loses acknowledged commits. Change: a promotion's term and member are saved in the group's lock before the order and after it; the leader of the newest term counts as the last primary if it is listed, answers as a replica, has the longest log, and no order for a later term may have taken place. accept-loss lets an operator give up the commits of a departed member for 15 minutes.

--- a/crates/hollyreach/src/args.rs
+++ b/crates/hollyreach/src/args.rs
@@ -13,6 +13,12 @@
     Check { file: Box<str>, gateway: bool },
     /// Reconstruct the timeline of a statement from logs.
     Explain { id: Box<str>, files: Vec<String> },
+    /// Give up the commits that departed members of a group may have taken along.
+    AcceptLoss {
+        config: Box<str>,
+        group: Box<str>,
+        members: Vec<Box<str>>,
+    },
     /// Hash a caller's password.
     Password { password: Box<str> },
     /// Show or change configuration.
@@ -185,6 +191,22 @@
         .to_options()
         .descr("Hash a caller's password for the configuration")
         .command("password");
+    let config = option(
+        "config",
+        "FILE",
+        "settings file of a daemon on the platform",
+    );
+    let group = option("group", "GROUP", "group without a primary");
+    let members = positional_text("MEMBER", "departed member, as the log names it")
+        .some("expected departed members");
+    let accept_loss = construct!(Command::AcceptLoss {
+        config,
+        group,
+        members
+    })
+    .to_options()
+    .descr("Give up acknowledged commits that only departed members have, for 15 minutes")
+    .command("accept-loss");
     let config = config_command()
         .to_options()
         .descr("Show or change configuration")
@@ -206,6 +228,7 @@
         status,
         report,
         explain,
+        accept_loss,
         password
     ])
     .to_options()
--- a/crates/hollyreach/src/main.rs
+++ b/crates/hollyreach/src/main.rs
@@ -67,6 +67,14 @@
             Err(e) => report_load_error(&e),
         },
         Command::Explain { id, files } => report_result(explain::explain(&id, &files)),
+        Command::AcceptLoss {
+            config,
+            group,
+            members,
+        } => match schema::load_gateway(&config) {
+            Ok(settings) => report_result(platform::run_accept_losses(&settings, &group, &members)),
+            Err(e) => report_load_error(&e),
+        },
         Command::Password { password } => {
             let salt: [u8; 16] = std::array::from_fn(|_| fastrand::u8(..));
             let (salt, hash) = pg::Verifier::hash_password(&password, &salt, 4096);
--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -6,11 +6,12 @@
 
 use base::{Event, Ms, emit, sleep_ms};
 
+use super::abort_reason::AbortReason;
 use super::control::{COMMAND_TIMEOUT_MS, ask, open_control_conn};
 use super::old_primary::OldPrimary;
 use crate::{
     ChangeRecord, Claim, Command, Conn, ConnError, Demotion, FenceHold, FencingToken, Group,
-    LastPrimary, Member, MemberKey, Promotion, Proxy, Role, Status,
+    LastPrimary, Leader, Member, MemberKey, Promotion, Proxy, RecordUpdate, Role, Status,
 };
 
 /// Interval between two rounds while the old primary's log is longer than all others, in ms.
@@ -26,9 +27,6 @@
 /// another daemon may have taken over by then.
 const MAX_CLAIM_AGE_MS: u64 = 3000;
 
-/// Why a primary change was aborted.
-pub(super) type AbortReason = Box<str>;
-
 /// A primary change under a claim.
 pub(super) struct PrimaryChange<'a> {
     proxy: &'a Proxy,
@@ -81,7 +79,10 @@
     /// next change. Fences are removed if it fails before the promotion was ordered.
     pub(super) async fn run(mut self) -> (Result<Rc<Member>, AbortReason>, ChangeRecord) {
         let (result, record) = match self.order_promotion().await {
-            Ok(candidate) => (self.finish(candidate).await, ChangeRecord::default()),
+            Ok(candidate) => {
+                let result = self.finish(candidate).await;
+                (result, self.record_after_order())
+            }
             Err(reason) => {
                 self.remove_fences(&self.fenced_members()).await;
                 (Err(reason), self.new_record())
@@ -93,7 +94,20 @@
         (result, record)
     }
 
+    /// The record for the next change after a promotion was ordered: only who leads which term. A
+    /// promotion that has failed may still take place.
+    fn record_after_order(&self) -> ChangeRecord {
+        ChangeRecord {
+            leaders: self.record.leaders.clone(),
+            ..ChangeRecord::default()
+        }
+    }
+
     fn new_record(&self) -> ChangeRecord {
+        let mut record = self.record.clone();
+        if let Some(leader) = self.group.last_leader() {
+            record.add_leader(leader);
+        }
         let seen = self.old_primary.as_ref().zip(self.demotion());
         let seen = seen.map(|(member, demotion)| LastPrimary {
             id: member.id.clone(),
@@ -104,6 +118,7 @@
             last_primary: seen
                 .or_else(|| self.group.demoted_primary())
                 .or_else(|| self.record.last_primary.clone()),
+            ..record
         }
     }
 
@@ -115,13 +130,31 @@
         let recorded = recorded.filter(|last| last.pos.term >= self.group.newest_term());
         let known = self.group.demoted_primary();
         let Some(last) = known.or_else(|| recorded.cloned()) else {
-            return false;
+            return self.has_recorded_leader(members);
         };
         let is_last = |m: &Rc<Member>| {
             let received = m.status.get().map(|s| s.received);
             m.id == last.id && !m.removed.get() && received.is_some_and(|pos| pos >= last.pos)
         };
-        members.iter().any(is_last)
+        members.iter().any(is_last) || self.has_recorded_leader(members)
+    }
+
+    /// Whether one of these members is on record as the leader of the newest term and has all of its
+    /// log. A member that has lost its log is behind the replicas that it had.
+    fn has_recorded_leader(&self, members: &[Rc<Member>]) -> bool {
+        let listed = |id: &str| members.iter().find(|m| *m.id == *id && !m.removed.get());
+        let is_replica =
+            |m: &Rc<Member>| m.last_probe.get().is_some_and(|p| p.role == Role::Replica);
+        let has_not_led = |id: &str| listed(id).is_some_and(is_replica);
+        let term = self.group.newest_term();
+        let Some(leader) = self.record.leader_of(term, has_not_led) else {
+            return false;
+        };
+        let Some(member) = listed(&leader.id).filter(|m| is_replica(m)) else {
+            return false;
+        };
+        let mut others = members.iter().filter(|m| !m.removed.get());
+        others.all(|m| m.log_end() <= member.log_end())
     }
 
     /// What the old primary has shown; `None` if it does not answer as a replica.
@@ -141,9 +174,15 @@
             let unknown = recorded.filter(|id| self.group.member(id).is_none());
             departed.extend(unknown.cloned());
         }
+        departed.retain(|id| !self.is_loss_accepted(id));
         departed
     }
 
+    /// Whether an operator has given up the commits that only this member may have.
+    fn is_loss_accepted(&self, id: &str) -> bool {
+        self.record.accepted_losses.iter().any(|a| **a == *id)
+    }
+
     fn is_claim_too_old(&self) -> bool {
         self.started_at.elapsed() >= MAX_CLAIM_AGE_MS
     }
@@ -160,6 +199,7 @@
             fence_set.retain(|m| !m.removed.get());
         } else {
             self.check_departed()?;
+            fence_set.retain(|m| !m.removed.get() || !self.is_loss_accepted(&m.id));
         }
         if fence_set.len() < 2 {
             return Err("fewer than two replicas are known".into());
@@ -178,8 +218,9 @@
             return Ok(());
         }
         let mut recorded = self.record.departed.iter();
-        if let Some(id) = recorded.find(|id| self.group.member(id).is_none()) {
-            return Err(format!("member {id} may have left with acknowledged commits").into());
+        let is_known = |id: &str| self.group.member(id).is_some() || self.is_loss_accepted(id);
+        if let Some(id) = recorded.find(|id| !is_known(id)) {
+            return Err(AbortReason::Departed(id.clone()));
         }
         if self.group.no_primary_since.get().elapsed() < UNKNOWN_PAST_WAIT_MS {
             return Err("this daemon does not know yet which members have left".into());
@@ -207,6 +248,8 @@
                 ("change", &self.token),
             ],
         );
+        self.log_accepted_losses();
+        self.record_leader(self.term, &candidate.id).await;
         if self.is_claim_too_old() {
             return Err("the claim is too old".into());
         }
@@ -232,6 +275,44 @@
         }
     }
 
+    fn log_accepted_losses(&self) {
+        let departed = self.record.departed.iter();
+        for id in departed.filter(|id| self.is_loss_accepted(id)) {
+            emit(
+                Event::LossAccepted,
+                &[
+                    ("group", &self.group.name),
+                    ("member", id),
+                    ("change", &self.token),
+                ],
+            );
+        }
+    }
+
+    /// Writes down who is about to lead a term, so that daemons that start after all others were lost
+    /// can tell whose log is complete. Without the record the change goes on: it is needed only after
+    /// further losses, and the group has no primary meanwhile.
+    async fn record_leader(&mut self, term: u64, id: &str) {
+        self.record.add_leader(Leader {
+            term,
+            id: id.into(),
+        });
+        let update = RecordUpdate {
+            group: self.group.name.clone(),
+            record: self.record.clone(),
+        };
+        if !(self.proxy.failover_api.save_record)(update).await {
+            emit(
+                Event::LeaderNotRecorded,
+                &[
+                    ("group", &self.group.name),
+                    ("member", &id),
+                    ("term", &term),
+                ],
+            );
+        }
+    }
+
     /// Stops the old primary, fences the replicas, and keeps them fenced until no lease on the old
     /// primary is left and no other member can hold an acknowledged commit. Returns the member to
     /// promote.
@@ -328,7 +409,7 @@
         }
         if answered < members.len() {
             let all = members.len();
-            return Err(format!("{answered} of {all} members could be fenced").into());
+            return Err(AbortReason::Unfenced { answered, all });
         }
         Ok(())
     }
@@ -341,21 +422,26 @@
 
     /// Waits until the candidate is primary, and lets the other members follow it.
     async fn finish(&mut self, candidate: Rc<Member>) -> Result<Rc<Member>, AbortReason> {
-        self.await_promotion(&candidate).await?;
+        let term = self.await_promotion(&candidate).await?;
+        self.record.add_leader(Leader {
+            term,
+            id: candidate.id.clone(),
+        });
         let mut others = self.fenced_members();
         others.retain(|m| m.key != candidate.key);
         self.remove_fences(&others).await;
         Ok(candidate)
     }
 
-    async fn await_promotion(&mut self, candidate: &Rc<Member>) -> Result<(), AbortReason> {
+    /// Waits until the candidate is primary; returns its term.
+    async fn await_promotion(&mut self, candidate: &Rc<Member>) -> Result<u64, AbortReason> {
         let until = Ms::now().plus(PROMOTION_TIMEOUT_MS);
         while until.left() > 0 {
             sleep_ms(PROMOTION_POLL_MS).await;
             if let Ok(status) = self.send(candidate, &Command::Status).await
                 && status.role == Role::Primary
             {
-                return Ok(());
+                return Ok(status.term);
             }
         }
         Err("the promotion took no effect".into())
--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -6,6 +6,7 @@
 //! is left (`fence`), the replica with the longest log, which contains every acknowledged commit,
 //! is promoted.
 
+mod abort_reason;
 mod change;
 mod control;
 mod old_primary;
@@ -15,7 +16,9 @@
 use base::{Event, Ms, emit, sleep_ms};
 
 use crate::{Command, FailoverCause, Group, Member, Proxy, Release, detect_failure};
-use change::{AbortReason, PrimaryChange};
+use change::PrimaryChange;
+
+pub use abort_reason::{AbortReason, AbortSeries};
 use control::send_command;
 
 /// Interval between two checks of the primary, in ms.
@@ -26,13 +29,12 @@
 const MAX_JITTER_MS: u64 = 150;
 /// Age from which a fence counts as left over from an abandoned primary change, in ms.
 const STALE_FENCE_MS: u64 = 4000;
-/// Delay after an aborted primary change, in ms.
-const FAILURE_RETRY_MS: u64 = 300;
 /// Delay after a claim was not obtained, in ms.
 const CLAIM_RETRY_MS: u64 = 1200;
 
 /// Polls the health of the primary and replaces it when needed; runs until the process ends.
 pub async fn run(proxy: Rc<Proxy>, group: Rc<Group>) {
+    let mut aborts = AbortSeries::default();
     loop {
         let before = Ms::now();
         sleep_ms(POLL_INTERVAL_MS).await;
@@ -44,6 +46,10 @@
             continue;
         }
         let Some(cause) = detect_failure(&group.primary_health(), Ms::now()) else {
+            if group.primary().is_some() {
+                aborts = AbortSeries::default();
+                group.is_blocked.set(false);
+            }
             remove_stale_fences(&proxy, &group).await;
             continue;
         };
@@ -55,16 +61,32 @@
             Ok(Some(())) => {}
             Ok(None) => sleep_ms(CLAIM_RETRY_MS).await,
             Err(reason) => {
-                emit(
-                    Event::FailoverAborted,
-                    &[("group", &group.name), ("cause", &reason)],
-                );
-                sleep_ms(FAILURE_RETRY_MS).await;
+                on_abort(&group, &mut aborts, &reason);
+                sleep_ms(aborts.delay_ms()).await;
             }
         }
     }
 }
 
+/// Logs an aborted change, and once when only an operator or a returning member can help.
+fn on_abort(group: &Group, aborts: &mut AbortSeries, reason: &AbortReason) {
+    let is_new = aborts.record(reason);
+    let is_blocked = aborts.is_blocked();
+    let was_blocked = group.is_blocked.replace(is_blocked);
+    if is_blocked && !was_blocked {
+        emit(
+            Event::GroupBlocked,
+            &[("group", &group.name), ("cause", reason)],
+        );
+    }
+    if is_new {
+        emit(
+            Event::FailoverAborted,
+            &[("group", &group.name), ("cause", reason)],
+        );
+    }
+}
+
 /// Unfences replicas that an abandoned primary change has left fenced. Called while no primary
 /// change is needed.
 async fn remove_stale_fences(proxy: &Proxy, group: &Rc<Group>) {
--- a/crates/proxy/src/failover_api.rs
+++ b/crates/proxy/src/failover_api.rs
@@ -30,6 +30,42 @@
     pub departed: Vec<Box<str>>,
     /// The last primary, if it was seen demoted.
     pub last_primary: Option<LastPrimary>,
+    /// The newest known leaders, by ascending term; a promotion is added before it is ordered.
+    pub leaders: Vec<Leader>,
+    /// Identifiers of departed members whose commits an operator has given up.
+    pub accepted_losses: Vec<Box<str>>,
+}
+
+/// The member that leads a term, or was ordered to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Leader {
+    pub term: u64,
+    pub id: Box<str>,
+}
+
+/// Number of leaders that a record keeps: those of a promotion that was ordered and may not have
+/// taken place, of the newest term, and of the one before.
+const MAX_LEADERS: usize = 3;
+
+impl ChangeRecord {
+    /// Records who leads a term; replaces an order for the same term that did not take place.
+    pub fn add_leader(&mut self, leader: Leader) {
+        self.leaders.retain(|l| l.term != leader.term);
+        self.leaders.push(leader);
+        self.leaders.sort_by_key(|l| l.term);
+        let surplus = self.leaders.len().saturating_sub(MAX_LEADERS);
+        self.leaders.drain(..surplus);
+    }
+
+    /// The leader of a term. `None` if it is unknown, or if a member that `has_not_led` does not
+    /// vouch for was ordered to lead a later term.
+    pub fn leader_of(&self, term: u64, has_not_led: impl Fn(&str) -> bool) -> Option<&Leader> {
+        let mut later = self.leaders.iter().filter(|l| l.term > term);
+        if !later.all(|l| has_not_led(&l.id)) {
+            return None;
+        }
+        self.leaders.iter().find(|l| l.term == term)
+    }
 }
 
 /// A demoted primary, whose log contains every commit that was confirmed to it.
@@ -55,6 +91,13 @@
     pub record: ChangeRecord,
 }
 
+/// What the holder of a claim writes down while it keeps the claim.
+pub struct RecordUpdate {
+    pub group: Box<str>,
+    /// What a later holder finds in `Claim::record` if this one fails.
+    pub record: ChangeRecord,
+}
+
 /// Calls by which a primary change is claimed and ordered.
 pub struct FailoverApi {
     /// Claims the right to change the primary of a group; `None` when another daemon holds it, or
@@ -62,6 +105,8 @@
     pub claim: AsyncCall<Box<str>, Option<Claim>>,
     /// Releases the claim on a group after a primary change.
     pub release: AsyncCall<Release, ()>,
+    /// Saves a record under a claim; false if it may not have been saved.
+    pub save_record: AsyncCall<RecordUpdate, bool>,
     /// Orders a promotion; false if it was certainly not accepted.
     pub promote: AsyncCall<Promotion, bool>,
     /// Reads the members of a group that the platform lists at the time of the call; `None` when
--- a/crates/proxy/src/group/fence_set.rs
+++ b/crates/proxy/src/group/fence_set.rs
@@ -6,7 +6,7 @@
 use schema::Pos;
 
 use super::Group;
-use crate::{LastPrimary, Member, MemberKey, Role};
+use crate::{LastPrimary, Leader, Member, MemberKey, Role};
 
 /// If the primary is still heard from this long after a member was removed, in ms, no primary change
 /// promotes that member any more.
@@ -53,6 +53,12 @@
         first_pos.is_some_and(|pos| self.is_held(pos, primary))
     }
 
+    /// The member that led the newest term of which this daemon has seen the primary.
+    pub(crate) fn last_leader(&self) -> Option<Leader> {
+        let (id, term) = self.last_primary.borrow().clone()?;
+        Some(Leader { term, id })
+    }
+
     /// The last primary that this daemon knows of, if no later term is known and it is listed and has
     /// reported to be a replica with the log that it had.
     pub fn demoted_primary(&self) -> Option<LastPrimary> {
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -53,6 +53,9 @@
     pub(crate) term_since: Cell<Ms>,
     /// Whether this daemon is an owner of the group.
     pub is_owner: Cell<bool>,
+    /// Whether no change of primary can succeed until a departed member comes back or an operator
+    /// gives its commits up.
+    pub is_blocked: Cell<bool>,
     /// Number of sessions on this group that this daemon serves.
     pub sessions: Cell<u64>,
     /// Send times of single writes and of commits that await an answer.
@@ -93,6 +96,7 @@
             last_primary: RefCell::default(),
             term_since: Cell::new(Ms::now()),
             is_owner: Cell::new(false),
+            is_blocked: Cell::new(false),
             sessions: Cell::new(0),
             pending_writes: RefCell::default(),
             peers: peers.clone(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -46,9 +46,10 @@
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
 pub use conn::{Conn, ConnError};
 pub use credential::Credential;
+pub use failover::{AbortReason, AbortSeries};
 pub use failover_api::{
-    AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Promotion,
-    Release,
+    AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Leader,
+    Promotion, RecordUpdate, Release,
 };
 pub use failure_detector::{FailoverCause, PrimaryHealth, detect_failure};
 pub use fence::{Demotion, FenceHold, FenceReport};
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -63,6 +63,8 @@
     pub retries: Counter,
     /// Primary changes that this daemon has completed.
     pub changes: Counter,
+    /// Number of groups whose change of primary is blocked; set when the metrics are served.
+    pub blocked_groups: Gauge,
     /// Number of open sessions; set when the metrics are served.
     pub sessions: Gauge,
     /// Version of the configuration in force; set when the metrics are served.
@@ -82,6 +84,7 @@
             wait: Histogram::new(BUCKETS_MS),
             retries: Counter::default(),
             changes: Counter::default(),
+            blocked_groups: Gauge::default(),
             sessions: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
@@ -101,6 +104,9 @@
         registry.register("retries", help, stats.retries.clone());
         let help = "Changes of primary run to their end";
         registry.register("changes", help, stats.changes.clone());
+        let help =
+            "Groups that stay without a primary until an operator or a returning member helps";
+        registry.register("blocked_groups", help, stats.blocked_groups.clone());
         registry.register("sessions", "Open sessions", stats.sessions.clone());
         let help = "Version of the configuration in force";
         registry.register("config_version", help, stats.config_version.clone());
