Sessions belong to the account of the caller's key; others are denied

Cause: with client accounts in force, callers with an unknown, missing or doubled key were served, and a handed-off session had its first message read twice, so that the key's text reached the owner. Ruled out: handing callers with an unknown key off, for the owner to decide. Every wrong key would then load an owner, and the daemon that accepted the caller denies it by the same rule. Change: `authentication` decides without I/O. An owner answers without waiting for bytes, so the sender no longer expects the response head to end its input. Heads may have 8 KiB, must be UTF-8, and a malformed one is refused.

--- a/crates/proxy/src/credential.rs
+++ b/crates/proxy/src/credential.rs
@@ -25,7 +25,8 @@
 
     /// Parses what `to_hex` returns.
     pub fn from_hex(text: &str) -> Option<Credential> {
-        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+        let is_hex = text.bytes().all(|b| b.is_ascii_hexdigit());
+        if text.len() != 2 * DIGEST_BYTES || !is_hex {
             return None;
         }
         let mut digest = [0; DIGEST_BYTES];
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -9,11 +9,12 @@
 use link::BufferedStream;
 
 use crate::session::{Session, SessionEvent, read_request};
-use crate::{ErrorKind, Proxy, Reply, Request, tunnel};
+use crate::{
+    Denial, ErrorKind, Identity, Proxy, Reply, Request, SessionRequest, authenticate, tunnel,
+};
 
-/// Timeout of one wait for the caller's first message. A caller that sends none is waited for
-/// twice, before the hand-off and before the session is served here.
-const HANDSHAKE_TIMEOUT_MS: u64 = 10_000;
+/// Timeout of the wait for the caller's first message.
+const HANDSHAKE_TIMEOUT_MS: u64 = 20_000;
 /// How long a new session waits for the first configuration, the list of daemons, and an owner that
 /// accepts it.
 /// After a start, the daemon and the owners may not be ready yet.
@@ -23,61 +24,67 @@
 
 /// Serves one caller until it disconnects or the daemon stops, here or at an owner of its group.
 pub async fn serve(proxy: Rc<Proxy>, link: BufferedStream) {
-    serve_session(proxy, link, None).await;
+    proxy.sessions.set(proxy.sessions.get() + 1);
+    serve_caller(&proxy, link).await;
+    proxy.sessions.set(proxy.sessions.get() - 1);
 }
 
-/// Serves a caller. If another daemon handed the session off, `origin` is the VM of that daemon,
-/// and the session is not handed off again.
-pub async fn serve_session(proxy: Rc<Proxy>, mut link: BufferedStream, origin: Option<Box<str>>) {
+/// Serves a caller whose session another daemon has handed off; the session is not handed off
+/// again.
+pub async fn serve_handed_off(
+    proxy: &Rc<Proxy>,
+    mut link: BufferedStream,
+    request: &SessionRequest,
+) {
     proxy.sessions.set(proxy.sessions.get() + 1);
-    let result = if origin.is_none() {
-        try_hand_off(&proxy, link).await
-    } else {
-        Err(link)
+    serve_locally(proxy, &mut link, request).await;
+    proxy.sessions.set(proxy.sessions.get() - 1);
+}
+
+async fn serve_caller(proxy: &Rc<Proxy>, mut link: BufferedStream) {
+    let wait = Duration::from_millis(HANDSHAKE_TIMEOUT_MS);
+    let first = monoio::time::timeout(wait, read_request(proxy.codec, &mut link)).await;
+    let Ok(SessionEvent::Request(Request::Connect {
+        database,
+        credential,
+    })) = first
+    else {
+        let text = "a session begins with its database";
+        refuse(proxy, &mut link, ErrorKind::Malformed, text).await;
+        return;
     };
-    if let Err(returned) = result {
-        link = returned;
-        serve_locally(&proxy, &mut link, origin).await;
+    let request = SessionRequest::of_caller(database, credential);
+    if let Err(mut link) = try_hand_off(proxy, &request, link).await {
+        serve_locally(proxy, &mut link, &request).await;
     }
-    proxy.sessions.set(proxy.sessions.get() - 1);
 }
 
 /// Hands a session off to an owner of its group.
 ///
 /// # Errors
 /// Returns the connection when the session is to be served or refused here: this daemon is an
-/// owner, the first message is invalid or missing, the database is unknown, or no owner accepted in
-/// time.
-async fn try_hand_off(proxy: &Rc<Proxy>, mut link: BufferedStream) -> Result<(), BufferedStream> {
-    let wait = Duration::from_millis(HANDSHAKE_TIMEOUT_MS);
-    let request = monoio::time::timeout(wait, async {
-        // The message is decoded from a copy, because the daemon that serves the session reads it
-        // again.
-        loop {
-            let mut peeked = link.input.clone();
-            match (proxy.codec.request)(&mut peeked) {
-                Ok(None) => {}
-                other => return other.ok().flatten(),
-            }
-            if !matches!(link.read_more().await, Ok(n) if n > 0) {
-                return None;
-            }
-        }
-    });
-    let Ok(Some(Request::Connect { database, .. })) = request.await else {
-        return Err(link);
-    };
+/// owner, the database is unknown, the caller is denied, or no owner accepted in time.
+async fn try_hand_off(
+    proxy: &Rc<Proxy>,
+    request: &SessionRequest,
+    mut link: BufferedStream,
+) -> Result<(), BufferedStream> {
     let deadline = Ms::now().plus(STARTUP_WAIT_MS);
     proxy.wait_for_config(deadline).await;
     proxy.wait_for_peers(deadline).await;
     loop {
-        let Some((_, group)) = proxy.route(&database) else {
+        let Some((_, group)) = proxy.route(&request.database) else {
             return Err(link);
         };
         let Some(owners) = proxy.remote_owners(&group) else {
             return Err(link);
         };
-        match tunnel::hand_off(proxy, &owners, link).await {
+        let Ok(identity) = identify(proxy, request) else {
+            return Err(link);
+        };
+        let account = identity.map(|i| proxy.accounts.name(i.account));
+        let handed_off = request.for_owner(proxy, account.as_deref());
+        match tunnel::hand_off(proxy, &owners, &handed_off, link).await {
             Ok(()) => return Ok(()),
             Err(returned) if deadline.left() == 0 => return Err(returned),
             Err(returned) => link = returned,
@@ -86,8 +93,16 @@
     }
 }
 
-async fn serve_locally(proxy: &Rc<Proxy>, link: &mut BufferedStream, origin: Option<Box<str>>) {
-    if let Some(mut session) = handshake(proxy, link, origin).await {
+/// Whom a session belongs to, by the configuration in force.
+fn identify(proxy: &Proxy, request: &SessionRequest) -> Result<Option<Identity>, Denial> {
+    let routes = proxy.routes.borrow();
+    let is_public = routes.get(&request.database).is_some_and(|r| r.public);
+    let account = request.account.as_deref();
+    authenticate(&proxy.accounts, is_public, request.credential, account)
+}
+
+async fn serve_locally(proxy: &Rc<Proxy>, link: &mut BufferedStream, request: &SessionRequest) {
+    if let Some(mut session) = handshake(proxy, link, request).await {
         let served = proxy.route(session.database()).map(|(_, group)| group);
         if let Some(group) = &served {
             group.sessions.set(group.sessions.get() + 1);
@@ -100,47 +115,54 @@
     }
 }
 
-/// Reads the first message and answers it; `None` when the session was refused, or the caller has
-/// disconnected.
+/// Answers the first message; `None` when the session was refused, or the caller has disconnected.
 async fn handshake(
     proxy: &Rc<Proxy>,
     link: &mut BufferedStream,
-    origin: Option<Box<str>>,
+    request: &SessionRequest,
 ) -> Option<Session> {
-    let wait = Duration::from_millis(HANDSHAKE_TIMEOUT_MS);
-    let request = monoio::time::timeout(wait, read_request(proxy.codec, link));
-    let Ok(SessionEvent::Request(Request::Connect { database, .. })) = request.await else {
-        return refuse(
-            proxy,
-            link,
-            ErrorKind::Malformed,
-            "a session begins with its database",
-        )
-        .await;
-    };
     if proxy.sessions.get() > proxy.settings.max_callers {
-        return refuse(proxy, link, ErrorKind::TooMany, "too many sessions").await;
+        refuse(proxy, link, ErrorKind::TooMany, "too many sessions").await;
+        return None;
     }
     if !proxy.wait_for_config(Ms::now().plus(STARTUP_WAIT_MS)).await {
-        return refuse(proxy, link, ErrorKind::Busy, "no configuration yet").await;
+        refuse(proxy, link, ErrorKind::Busy, "no configuration yet").await;
+        return None;
     }
-    if proxy.route(&database).is_none() {
-        return refuse(proxy, link, ErrorKind::NoDatabase, &database).await;
+    if proxy.route(&request.database).is_none() {
+        refuse(proxy, link, ErrorKind::NoDatabase, &request.database).await;
+        return None;
     }
-    let session = Session::new(origin, database, None);
+    let identity = match identify(proxy, request) {
+        Ok(identity) => identity,
+        Err(denial) => {
+            deny(proxy, link, request, denial).await;
+            return None;
+        }
+    };
+    let session = Session::new(request.origin.clone(), request.database.clone(), identity);
     let mut out = BytesMut::new();
     (proxy.codec.reply)(&Reply::handshake_ok(), &mut out);
     link.send(&out).await.ok()?;
     Some(session)
 }
 
+/// Refuses a session whose caller has no valid key.
+async fn deny(proxy: &Proxy, link: &mut BufferedStream, request: &SessionRequest, denial: Denial) {
+    let key = request.credential.map_or("-".into(), |c| c.label());
+    emit(
+        Event::KeyRefused,
+        &[
+            ("key", &key),
+            ("database", &request.database),
+            ("cause", &format!("{denial:?}")),
+        ],
+    );
+    refuse(proxy, link, ErrorKind::Denied, "no valid key").await;
+}
+
 /// Logs the refusal of a session, sends the error reply and closes the connection.
-async fn refuse(
-    proxy: &Rc<Proxy>,
-    link: &mut BufferedStream,
-    kind: ErrorKind,
-    text: &str,
-) -> Option<Session> {
+async fn refuse(proxy: &Proxy, link: &mut BufferedStream, kind: ErrorKind, text: &str) {
     emit(
         Event::SessionRefused,
         &[("kind", &format!("{kind:?}")), ("cause", &text)],
@@ -150,5 +172,4 @@
     // Send errors are ignored: the caller may have disconnected already.
     let _ = link.send(&out).await;
     let _ = link.shut_down().await;
-    None
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,11 +1,12 @@
 //! Serves callers' sessions from groups of replicated databases.
 //!
-//! The decision modules (`lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
+//! The decision modules (`authentication`, `lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
 //! `lag_backoff`, `ownership`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
 //! and are called by the code that uses sockets. The crate depends on no wire protocol and on no
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
 mod accounts;
+mod authentication;
 mod codec;
 mod config_push;
 mod configure;
@@ -33,6 +34,7 @@
 mod routing;
 mod service_time;
 mod session;
+mod session_request;
 mod settings;
 mod shedding;
 mod state;
@@ -43,6 +45,7 @@
 pub mod tunnel;
 
 pub use accounts::{AccountKey, Accounts, Identity};
+pub use authentication::{Denial, authenticate};
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
 pub use conn::{Conn, ConnError};
 pub use credential::Credential;
@@ -68,6 +71,7 @@
 pub use routing::cost;
 pub use schema::{Account, Config, Freshness, GroupRule, Route};
 pub use service_time::ServiceTime;
+pub use session_request::SessionRequest;
 pub use settings::Settings;
 pub use shedding::{Demand, admitted_parts};
 pub use state::Proxy;
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -1,6 +1,6 @@
 //! Log line and metrics of an answered statement.
 
-use base::{Event, emit};
+use base::{Event, Field, emit};
 use schema::Pos;
 
 use crate::exec::{StatementContext, StatementTask};
@@ -32,29 +32,32 @@
     {
         proxy.stats.reads.get_or_create(labels).inc();
     }
-    emit(
-        if outcome == Outcome::Served {
-            Event::StatementServed
-        } else {
-            Event::StatementNotServed
-        },
-        &[
-            ("id", &task.statement.id),
-            ("database", &cx.route.database),
-            ("outcome", &format!("{outcome:?}")),
-            (
-                "kind",
-                &reply
-                    .error_kind()
-                    .map_or(String::new(), |k| format!("{k:?}")),
-            ),
-            ("member", &cx.member.borrow()),
-            ("pos", &reply.pos.unwrap_or(Pos::ZERO)),
-            ("config", &proxy.config_version.get()),
-            ("waited_ms", &cx.wait_ms.get()),
-            ("took_ms", &took),
-        ],
-    );
+    let event = if outcome == Outcome::Served {
+        Event::StatementServed
+    } else {
+        Event::StatementNotServed
+    };
+    let account = cx.identity.map(|i| proxy.accounts.name(i.account));
+    let kind = reply.error_kind().map(|k| format!("{k:?}"));
+    let kind = kind.unwrap_or_default();
+    let (outcome, member) = (format!("{outcome:?}"), cx.member.borrow());
+    let (pos, config) = (reply.pos.unwrap_or(Pos::ZERO), proxy.config_version.get());
+    let waited_ms = cx.wait_ms.get();
+    let mut fields: Vec<Field> = vec![
+        ("id", &task.statement.id),
+        ("database", &cx.route.database),
+        ("outcome", &outcome),
+        ("kind", &kind),
+        ("member", &member),
+        ("pos", &pos),
+        ("config", &config),
+        ("waited_ms", &waited_ms),
+        ("took_ms", &took),
+    ];
+    if let Some(account) = &account {
+        fields.push(("account", account));
+    }
+    emit(event, &fields);
 }
 
 fn histogram_sample(ms: u64) -> f64 {
--- /dev/null
+++ b/crates/proxy/src/session_request.rs
@@ -0,0 +1,38 @@
+//! The request for a session, from a caller or from the daemon that hands it off.
+
+use crate::{Credential, Proxy};
+
+/// What a session is opened with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SessionRequest {
+    pub database: Box<str>,
+    /// `None` when the caller has sent no key, or a malformed one.
+    pub credential: Option<Credential>,
+    /// Account that the daemon which handed the session off has found for the credential.
+    pub account: Option<Box<str>>,
+    /// VM that handed the session off; `None` when the caller connected here.
+    pub origin: Option<Box<str>>,
+}
+
+impl SessionRequest {
+    /// The request of a caller that connected here.
+    pub fn of_caller(database: Box<str>, credential: Option<Credential>) -> SessionRequest {
+        SessionRequest {
+            database,
+            credential,
+            account: None,
+            origin: None,
+        }
+    }
+
+    /// The request as this daemon hands it off to an owner. `account` is the one that it has found.
+    #[must_use]
+    pub fn for_owner(&self, proxy: &Proxy, account: Option<&str>) -> SessionRequest {
+        SessionRequest {
+            database: self.database.clone(),
+            credential: self.credential,
+            account: account.map(Box::from),
+            origin: Some(proxy.settings.name.clone()),
+        }
+    }
+}
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::{Event, emit, sleep_ms};
+use bytes::BytesMut;
 use link::BufferedStream;
 use monoio::net::TcpStream;
 use quick_error::quick_error;
@@ -63,27 +64,42 @@
     peer: SocketAddr,
     target: &str,
 ) -> Result<BufferedStream, PeerError> {
+    let head = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
+    send_head(peer, &head).await
+}
+
+/// As `connect_to_peer`, with a complete request head.
+pub(super) async fn send_head(peer: SocketAddr, head: &str) -> Result<BufferedStream, PeerError> {
     let timeout = Duration::from_millis(PEER_IO_TIMEOUT_MS);
-    let result = monoio::time::timeout(timeout, request_target(peer, target)).await;
+    let result = monoio::time::timeout(timeout, exchange_heads(peer, head)).await;
     result.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
 }
 
-async fn request_target(peer: SocketAddr, target: &str) -> Result<BufferedStream, PeerError> {
+/// Sends a request head and reads that of the response. What follows it is left in the input: an
+/// owner answers a handed-off session without further bytes.
+async fn exchange_heads(peer: SocketAddr, head: &str) -> Result<BufferedStream, PeerError> {
     let mut link = BufferedStream::new(TcpStream::connect_addr(peer).await?)?;
-    let head = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
     link.send(head.as_bytes()).await?;
-    while !link.input.ends_with(HEAD_END) {
+    let response = loop {
+        if let Some(response) = take_head(&mut link.input) {
+            break response;
+        }
         if link.input.len() > MAX_HEAD_BYTES || link.read_more().await? == 0 {
             return Err(io::Error::from(io::ErrorKind::InvalidData).into());
         }
-    }
-    if !link.input.starts_with(b"HTTP/1.1 200") {
+    };
+    if !response.starts_with(b"HTTP/1.1 200") {
         return Err(PeerError::Refused);
     }
-    link.input.clear();
     Ok(link)
 }
 
+/// Removes the head of a response from the input; `None` until it is complete.
+fn take_head(input: &mut BytesMut) -> Option<BytesMut> {
+    let end = input.windows(HEAD_END.len()).position(|w| w == HEAD_END)?;
+    Some(input.split_to(end + HEAD_END.len()))
+}
+
 /// Pushes a configuration to a daemon, which accepts it only if its own is older.
 ///
 /// # Errors
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -5,9 +5,9 @@
 use base::sleep_ms;
 use link::BufferedStream;
 
-use super::SESSION_PREFIX;
-use super::connect::connect_to_peer;
-use crate::{Peer, Proxy};
+use super::connect::send_head;
+use super::head::encode_hand_off;
+use crate::{Peer, Proxy, SessionRequest};
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
 const REPLY_SILENCE_MS: u64 = 100;
@@ -20,18 +20,15 @@
 pub async fn hand_off(
     proxy: &Proxy,
     peers: &[Peer],
+    request: &SessionRequest,
     mut caller: BufferedStream,
 ) -> Result<(), BufferedStream> {
     for peer in peers {
-        let target = format!(
-            "{SESSION_PREFIX}{}.{}",
-            proxy.config_version.get(),
-            proxy.settings.name
-        );
+        let head = encode_hand_off(proxy.config_version.get(), request);
         // Counted before the attempt, so that a configuration that comes into force meanwhile is
         // pushed to this peer too.
         proxy.peers.add_handed_off(peer.addr);
-        let owner = connect_to_peer(peer.addr, &target).await;
+        let owner = send_head(peer.addr, &head).await;
         let accepted = owner.is_ok();
         if let Ok(mut owner) = owner {
             // The error is dropped: both connections are closed, and a byte stream has no room for
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -1,7 +1,10 @@
 //! Connections between daemons. Each is opened with an HTTP `CONNECT`, whose target tells what it
 //! is for:
 //! - `IP:PORT`: a tunnel to the member at this address.
-//! - `session.VERSION.VM`: the hand-off of a caller's session to an owner of its group.
+//! - `session.VERSION.VM`: the hand-off of a caller's session to an owner of its group. The headers
+//!   hold what the caller's first message said: `database`, `credential` (the digest of its key, if
+//!   it has sent one) and `account` (the one that the sender has found, if any). The messages that
+//!   follow the first one pass on the connection.
 //! - `config.VERSION`: the push of a configuration.
 //! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
 //!
@@ -12,6 +15,7 @@
 
 mod connect;
 mod hand_off;
+mod head;
 mod server;
 
 use std::io;
@@ -23,13 +27,16 @@
 pub use connect::announce_stop;
 pub(crate) use connect::{open, push_config};
 pub use hand_off::hand_off;
+pub use head::{decode_hand_off, encode_hand_off};
 pub use server::serve;
 
 /// Timeout for opening a connection to a daemon, including the response to `CONNECT`, or to the
 /// member behind a tunnel; also for sending a configuration and for each read of one.
 const PEER_IO_TIMEOUT_MS: u64 = 250;
 /// Longest HTTP head of a request or response.
-const MAX_HEAD_BYTES: usize = 1024;
+const MAX_HEAD_BYTES: usize = 8192;
+/// Bytes of one read of a request's head.
+const HEAD_CHUNK_BYTES: usize = 1024;
 /// Ends an HTTP head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Prefix of the target for a session hand-off; `VERSION.VM` follows, which is the version of the
@@ -50,7 +57,7 @@
 
 async fn read_head(stream: &mut TcpStream) -> io::Result<String> {
     let mut head = Vec::new();
-    let mut buf = vec![0; MAX_HEAD_BYTES];
+    let mut buf = vec![0; HEAD_CHUNK_BYTES];
     while !head.ends_with(HEAD_END) {
         let (result, returned_buf) = stream.read(buf).await;
         let n = result?;
@@ -60,5 +67,5 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
     }
-    Ok(String::from_utf8_lossy(&head).into_owned())
+    String::from_utf8(head).map_err(|_| io::ErrorKind::InvalidData.into())
 }
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -10,7 +10,7 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::{
-    CONFIG_PREFIX, RESPONSE_OK, SESSION_PREFIX, STOP_PREFIX, read_head, with_peer_timeout,
+    CONFIG_PREFIX, RESPONSE_OK, SESSION_PREFIX, STOP_PREFIX, head, read_head, with_peer_timeout,
 };
 use crate::{Proxy, config_push, handshake};
 
@@ -46,7 +46,7 @@
 
 /// Handles a `CONNECT` request of another daemon according to its target.
 async fn handle_request(proxy: &Rc<Proxy>, mut stream: TcpStream, head: &str) -> io::Result<()> {
-    let target = head.split(' ').nth(1).unwrap_or("");
+    let target = head::target(head).unwrap_or_default();
     if let Some(vm) = target.strip_prefix(STOP_PREFIX) {
         proxy.drain_sessions_from(vm);
         return write_response(&mut stream, RESPONSE_OK).await;
@@ -54,21 +54,25 @@
     if let Some(version) = target.strip_prefix(CONFIG_PREFIX) {
         return receive_config(proxy, stream, version).await;
     }
-    let Some(version_and_vm) = target.strip_prefix(SESSION_PREFIX) else {
-        return tunnel_to_member(proxy, stream, target).await;
+    if target.starts_with(SESSION_PREFIX) {
+        return receive_session(proxy, stream, head).await;
+    }
+    tunnel_to_member(proxy, stream, target).await
+}
+
+/// Serves a session that another daemon hands off.
+async fn receive_session(proxy: &Rc<Proxy>, mut stream: TcpStream, head: &str) -> io::Result<()> {
+    let Some((version, request)) = head::decode_hand_off(head) else {
+        write_response(&mut stream, RESPONSE_REFUSED).await?;
+        return Err(io::ErrorKind::InvalidData.into());
     };
-    let (version, vm) = version_and_vm.split_once('.').unwrap_or(("", ""));
     // Refused while the sender's configuration is newer: the session would be served by an older
     // one than is in force at the sender.
-    if version
-        .parse()
-        .is_ok_and(|version: u64| version > proxy.config_version.get())
-    {
+    if version > proxy.config_version.get() {
         return write_response(&mut stream, RESPONSE_REFUSED).await;
     }
     write_response(&mut stream, RESPONSE_OK).await?;
-    let origin = Some(Box::from(vm));
-    handshake::serve_session(proxy.clone(), BufferedStream::new(stream)?, origin).await;
+    handshake::serve_handed_off(proxy, BufferedStream::new(stream)?, &request).await;
     Ok(())
 }
 
