A session whose key is withdrawn ends between transactions, at both ends of a hand-off

Cause: a session was bound to its key at the handshake only, so a key that a configuration removed worked for as long as its sessions stayed open. Ruled out: to let the accepting daemon end the copy once bytes have come back from the owner and 100 ms were silent. That cuts an open transaction, and a second statement sent together with the first. Also ruled out: an owner that just closes. A statement on its way to it would be lost without an answer. Change: `KeyCheck` checks a session's key once per configuration, also when a route becomes public or accounts appear, and `configure` wakes the sessions while accounts are in force. `tunnel::Exchange` follows the messages of a handed-off session, so that the accepting daemon knows what is due and whether a transaction is open. An owner ends such a session with an unasked `DENIED`, which answers a statement that was on its way; the accepting daemon passes it on only if one was. Statements that arrive after the withdrawal get `DENIED`. A stop uses the exact count of due replies as well.

--- a/crates/proxy/src/authentication.rs
+++ b/crates/proxy/src/authentication.rs
@@ -34,3 +34,22 @@
     }
     Ok(Some(identity))
 }
+
+/// Whom an open session belongs to under a configuration that has come into force since it was
+/// opened; `held` is whom it belonged to before.
+///
+/// # Errors
+/// The reason for which the session must end. A key that now belongs to another account ends it
+/// too, because the session's connections and rate are those of the former account.
+pub fn identify_again(
+    accounts: &Accounts,
+    is_public: bool,
+    credential: Option<Credential>,
+    held: Option<Identity>,
+) -> Result<Option<Identity>, Denial> {
+    let current = authenticate(accounts, is_public, credential, None)?;
+    match (held, current) {
+        (Some(held), Some(current)) if held != current => Err(Denial::OtherAccount),
+        _ => Ok(current),
+    }
+}
--- a/crates/proxy/src/configure.rs
+++ b/crates/proxy/src/configure.rs
@@ -30,11 +30,15 @@
                 ("routes", &routes.len()),
             ],
         );
+        let needs_check = self.accounts.in_force() || config.accounts.is_some();
         self.accounts.replace(config.accounts.as_deref());
         self.routes.replace(routes);
         self.update_ownership();
         self.tx_idle_ms.set(config.tx_idle);
         self.config_version.set(config.version);
+        if needs_check {
+            self.stop_signal.notify();
+        }
     }
 
     fn add_group(self: &Rc<Self>, rule: &GroupRule) {
--- a/crates/proxy/src/credential.rs
+++ b/crates/proxy/src/credential.rs
@@ -36,6 +36,11 @@
         Some(Credential(digest))
     }
 
+    /// Label of a credential, `-` without one.
+    pub fn label_of(credential: Option<Credential>) -> Box<str> {
+        credential.map_or("-".into(), |c| c.label())
+    }
+
     /// Short name for logs. It is a hash of the digest, so that the digest cannot be told from it.
     pub fn label(&self) -> Box<str> {
         let hash: [u8; DIGEST_BYTES] = Sha256::digest(self.0).into();
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -8,10 +8,9 @@
 use bytes::BytesMut;
 use link::BufferedStream;
 
+use crate::key_check::KeyCheck;
 use crate::session::{Session, SessionEvent, read_request};
-use crate::{
-    Denial, ErrorKind, Identity, Proxy, Reply, Request, SessionRequest, authenticate, tunnel,
-};
+use crate::{Credential, Denial, ErrorKind, Proxy, Reply, Request, SessionRequest, tunnel};
 
 /// Timeout of the wait for the caller's first message.
 const HANDSHAKE_TIMEOUT_MS: u64 = 20_000;
@@ -79,12 +78,10 @@
         let Some(owners) = proxy.remote_owners(&group) else {
             return Err(link);
         };
-        let Ok(identity) = identify(proxy, request) else {
+        if request.identify(proxy).is_err() {
             return Err(link);
-        };
-        let account = identity.map(|i| proxy.accounts.name(i.account));
-        let handed_off = request.for_owner(proxy, account.as_deref());
-        match tunnel::hand_off(proxy, &owners, &handed_off, link).await {
+        }
+        match tunnel::hand_off(proxy, &owners, request, link).await {
             Ok(()) => return Ok(()),
             Err(returned) if deadline.left() == 0 => return Err(returned),
             Err(returned) => link = returned,
@@ -93,14 +90,6 @@
     }
 }
 
-/// Whom a session belongs to, by the configuration in force.
-fn identify(proxy: &Proxy, request: &SessionRequest) -> Result<Option<Identity>, Denial> {
-    let routes = proxy.routes.borrow();
-    let is_public = routes.get(&request.database).is_some_and(|r| r.public);
-    let account = request.account.as_deref();
-    authenticate(&proxy.accounts, is_public, request.credential, account)
-}
-
 async fn serve_locally(proxy: &Rc<Proxy>, link: &mut BufferedStream, request: &SessionRequest) {
     if let Some(mut session) = handshake(proxy, link, request).await {
         let served = proxy.route(session.database()).map(|(_, group)| group);
@@ -133,14 +122,14 @@
         refuse(proxy, link, ErrorKind::NoDatabase, &request.database).await;
         return None;
     }
-    let identity = match identify(proxy, request) {
+    let identity = match request.identify(proxy) {
         Ok(identity) => identity,
         Err(denial) => {
             deny(proxy, link, request, denial).await;
             return None;
         }
     };
-    let session = Session::new(request.origin.clone(), request.database.clone(), identity);
+    let session = Session::new(request, identity, KeyCheck::new(proxy, request.credential));
     let mut out = BytesMut::new();
     (proxy.codec.reply)(&Reply::handshake_ok(), &mut out);
     link.send(&out).await.ok()?;
@@ -149,7 +138,7 @@
 
 /// Refuses a session whose caller has no valid key.
 async fn deny(proxy: &Proxy, link: &mut BufferedStream, request: &SessionRequest, denial: Denial) {
-    let key = request.credential.map_or("-".into(), |c| c.label());
+    let key = Credential::label_of(request.credential);
     emit(
         Event::KeyRefused,
         &[
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accounts;
 mod authentication;
+mod closing;
 mod codec;
 mod config_push;
 mod configure;
@@ -21,6 +22,7 @@
 mod handshake;
 mod health_check;
 mod history;
+mod key_check;
 mod lag_backoff;
 mod lease;
 mod member;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -9,13 +9,15 @@
 use link::BufferedStream;
 use schema::Pos;
 
+use crate::closing::{close_after_reply, read_arrived};
 use crate::exec::{StatementContext, StatementTask, run_single};
+use crate::key_check::KeyCheck;
 use crate::outcome::record_outcome;
 use crate::statement::SessionVars;
 use crate::transaction::Transaction;
 use crate::{
-    Codec, ErrorKind, Identity, PreparedStatement, Proxy, Reply, ReplyEnd, Request, Statement,
-    TxState, Verb, WireError,
+    Codec, ErrorKind, Identity, PreparedStatement, Proxy, Reply, ReplyEnd, Request, SessionRequest,
+    Statement, TxState, Verb, WireError,
 };
 
 /// One caller's session.
@@ -25,6 +27,7 @@
     database: Box<str>,
     /// `None` on public routes and where no client accounts are in force.
     identity: Option<Identity>,
+    key: KeyCheck,
     vars: SessionVars,
     /// Prepared statements by the names that the caller gave them.
     prepared: BTreeMap<Box<str>, PreparedStatement>,
@@ -47,9 +50,9 @@
     ProtocolError(WireError),
     /// The open transaction has exceeded its idle timeout.
     TxIdleTimeout,
-    /// The stop signal fired, but this session goes on for now.
+    /// The stop signal fired.
     StopSignal,
-    /// The caller closed the connection, or the session ends because the daemon stops.
+    /// The caller closed the connection.
     Closed,
 }
 
@@ -71,15 +74,12 @@
 }
 
 impl Session {
-    pub fn new(
-        origin: Option<Box<str>>,
-        database: Box<str>,
-        identity: Option<Identity>,
-    ) -> Session {
+    pub fn new(request: &SessionRequest, identity: Option<Identity>, key: KeyCheck) -> Session {
         Session {
-            origin,
-            database,
+            origin: request.origin.clone(),
+            database: request.database.clone(),
             identity,
+            key,
             vars: SessionVars::new(),
             prepared: BTreeMap::new(),
             last_write: Pos::ZERO,
@@ -110,9 +110,19 @@
 
     /// Whether the session must end before its next statement: always once the daemon ends its
     /// sessions by force; outside a transaction while this daemon, or the one that handed the
-    /// session off, drains its sessions.
+    /// session off, drains its sessions, and once the caller's key is withdrawn.
     fn should_end(&self, proxy: &Proxy) -> bool {
-        proxy.force_end.get() || self.is_draining(proxy) && self.tx_state == TxState::Idle
+        let is_drained = self.is_draining(proxy) && self.tx_state == TxState::Idle;
+        proxy.force_end.get() || self.key.is_withdrawn() || is_drained
+    }
+
+    /// Checks the caller's key against the configuration in force. An open transaction may end
+    /// under the configuration that it was opened with.
+    fn check_key(&mut self, proxy: &Proxy) {
+        let was_rolled_back = self.tx_state == TxState::Open && self.tx.is_none();
+        if self.tx_state == TxState::Idle || was_rolled_back {
+            self.key.update(proxy, &self.database, &mut self.identity);
+        }
     }
 
     /// Serves the session until the caller disconnects, the daemon stops, or the daemon closes the
@@ -120,7 +130,9 @@
     pub async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut BufferedStream) {
         let mut out = BytesMut::new();
         loop {
+            self.check_key(proxy);
             if self.should_end(proxy) && link.input.is_empty() {
+                self.end(proxy, link).await;
                 return;
             }
             link.release_buffer();
@@ -137,8 +149,13 @@
                 SessionEvent::StopSignal => continue,
                 SessionEvent::Closed => return,
             };
+            self.check_key(proxy);
             let reply = match request {
                 Request::Close => return,
+                _ if self.key.is_withdrawn() => {
+                    self.deny(proxy, link).await;
+                    return;
+                }
                 Request::Run(statement) => self.run_statement(proxy, &statement).await,
                 Request::Connect { .. } => self.malformed("the session has begun"),
                 Request::Unknown { text } => self.malformed(&text),
@@ -165,6 +182,33 @@
         }
     }
 
+    /// Ends the session before its next statement.
+    async fn end(&self, proxy: &Proxy, link: &mut BufferedStream) {
+        if !self.key.is_withdrawn() {
+            return;
+        }
+        read_arrived(link).await;
+        // A statement may be on its way from the daemon that handed the session off; this answers
+        // it.
+        let may_be_sent = self.origin.is_some() && !proxy.force_end.get();
+        if may_be_sent || !link.input.is_empty() {
+            self.deny(proxy, link).await;
+            return;
+        }
+        self.key.log_end(&self.database, self.origin.as_deref());
+    }
+
+    /// Sends the error reply for a withdrawn key and closes the connection.
+    async fn deny(&self, proxy: &Proxy, link: &mut BufferedStream) {
+        self.key.log_end(&self.database, self.origin.as_deref());
+        let mut out = BytesMut::new();
+        let reply = Reply::error(ErrorKind::Denied, KeyCheck::WITHDRAWN);
+        (proxy.codec.reply)(&self.with_session_state(reply), &mut out);
+        // Send errors are ignored: the session ends in any case.
+        let _ = link.send(&out).await;
+        close_after_reply(link).await;
+    }
+
     /// Sends the error reply for undecodable input and closes the connection.
     async fn send_protocol_error(&self, proxy: &Proxy, link: &mut BufferedStream, e: WireError) {
         let kind = match e {
@@ -196,13 +240,7 @@
         monoio::select! {
             request = read_request(proxy.codec, link) => request,
             () = monoio::time::sleep(idle_timeout) => SessionEvent::TxIdleTimeout,
-            () = proxy.stop_signal.wait_past(generation) => {
-                if self.should_end(proxy) && link.input.is_empty() {
-                    SessionEvent::Closed
-                } else {
-                    SessionEvent::StopSignal
-                }
-            }
+            () = proxy.stop_signal.wait_past(generation) => SessionEvent::StopSignal,
         }
     }
 
--- a/crates/proxy/src/session_request.rs
+++ b/crates/proxy/src/session_request.rs
@@ -1,6 +1,6 @@
 //! The request for a session, from a caller or from the daemon that hands it off.
 
-use crate::{Credential, Proxy};
+use crate::{Credential, Denial, Identity, Proxy, authenticate};
 
 /// What a session is opened with.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +25,17 @@
         }
     }
 
+    /// Whom the session belongs to, by the configuration in force.
+    ///
+    /// # Errors
+    /// The reason for which the caller is denied.
+    pub fn identify(&self, proxy: &Proxy) -> Result<Option<Identity>, Denial> {
+        let routes = proxy.routes.borrow();
+        let is_public = routes.get(&self.database).is_some_and(|r| r.public);
+        let account = self.account.as_deref();
+        authenticate(&proxy.accounts, is_public, self.credential, account)
+    }
+
     /// The request as this daemon hands it off to an owner. `account` is the one that it has found.
     #[must_use]
     pub fn for_owner(&self, proxy: &Proxy, account: Option<&str>) -> SessionRequest {
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -3,42 +3,59 @@
 use std::io;
 
 use base::sleep_ms;
+use bytes::BytesMut;
 use link::BufferedStream;
 
 use super::connect::send_head;
+use super::exchange::Exchange;
 use super::head::encode_hand_off;
-use crate::{Peer, Proxy, SessionRequest};
+use crate::closing::{close_after_reply, read_arrived};
+use crate::key_check::KeyCheck;
+use crate::{ErrorKind, Identity, Peer, Proxy, Reply, SessionRequest};
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
 const REPLY_SILENCE_MS: u64 = 100;
 
-/// Hands a session off to the first of several daemons that accepts it, and forwards bytes both
-/// ways until it ends. Input that is already buffered is forwarded first.
+/// Hands a caller's session off to the first of several daemons that accepts it, and forwards bytes
+/// both ways until it ends. Input that is already buffered is forwarded first.
 ///
 /// # Errors
-/// Returns the caller's connection when no daemon accepts.
+/// Returns the caller's connection when its key is not valid, or no daemon accepts.
 pub async fn hand_off(
     proxy: &Proxy,
     peers: &[Peer],
     request: &SessionRequest,
     mut caller: BufferedStream,
 ) -> Result<(), BufferedStream> {
+    let Ok(identity) = request.identify(proxy) else {
+        return Err(caller);
+    };
+    let key = KeyCheck::new(proxy, request.credential);
+    let account = identity.map(|i| proxy.accounts.name(i.account));
+    let head = encode_hand_off(
+        proxy.config_version.get(),
+        &request.for_owner(proxy, account.as_deref()),
+    );
     for peer in peers {
-        let head = encode_hand_off(proxy.config_version.get(), request);
         // Counted before the attempt, so that a configuration that comes into force meanwhile is
         // pushed to this peer too.
         proxy.peers.add_handed_off(peer.addr);
         let owner = send_head(peer.addr, &head).await;
-        let accepted = owner.is_ok();
         if let Ok(mut owner) = owner {
+            let mut forwarder = Forwarder {
+                proxy,
+                database: &request.database,
+                identity,
+                key,
+                exchange: Exchange::new(proxy.codec),
+            };
             // The error is dropped: both connections are closed, and a byte stream has no room for
             // an error message.
-            let _ = copy_both_ways(proxy, &mut caller, &mut owner).await;
-        }
-        proxy.peers.remove_handed_off(peer.addr);
-        if accepted {
+            let _ = forwarder.run(&mut caller, &mut owner).await;
+            proxy.peers.remove_handed_off(peer.addr);
             return Ok(());
         }
+        proxy.peers.remove_handed_off(peer.addr);
     }
     Err(caller)
 }
@@ -52,36 +69,101 @@
     }
 }
 
-/// Copies both ways until one side closes. Once `Proxy::force_end` is set and no reply is due, it
-/// also ends after `REPLY_SILENCE_MS` without bytes.
-///
-/// A reply is due at the start, and from the arrival of bytes from the caller until bytes from the
-/// owner arrive.
-async fn copy_both_ways(
-    proxy: &Proxy,
-    caller: &mut BufferedStream,
-    owner: &mut BufferedStream,
-) -> io::Result<()> {
-    let mut reply_due = true;
-    loop {
-        let bytes = caller.input.split();
-        reply_due |= !bytes.is_empty();
-        owner.send(&bytes).await?;
-        let bytes = owner.input.split();
-        reply_due &= bytes.is_empty();
-        caller.send(&bytes).await?;
-        caller.release_buffer();
-        owner.release_buffer();
-        let generation = proxy.stop_signal.generation();
-        let bytes_read = monoio::select! {
-            bytes_read = caller.read_more() => bytes_read?,
-            bytes_read = owner.read_more() => bytes_read?,
-            () = proxy.stop_signal.wait_past(generation) => continue,
-            () = reply_silence(proxy.force_end.get() && !reply_due) => return Ok(()),
-        };
-        if bytes_read == 0 {
-            let bytes = owner.input.split();
-            return caller.send(&bytes).await;
+/// Reads from a connection if `enabled`, never completes otherwise.
+async fn read_if(enabled: bool, link: &mut BufferedStream) -> io::Result<usize> {
+    if enabled {
+        link.read_more().await
+    } else {
+        std::future::pending().await
+    }
+}
+
+/// Forwards the bytes of one handed-off session.
+struct Forwarder<'a> {
+    proxy: &'a Proxy,
+    database: &'a str,
+    identity: Option<Identity>,
+    key: KeyCheck,
+    exchange: Exchange,
+}
+
+impl Forwarder<'_> {
+    /// Forwards both ways until one side closes. It also ends
+    /// - once the caller's key is withdrawn, between transactions;
+    /// - once `Proxy::force_end` is set and no reply is due, after `REPLY_SILENCE_MS` without bytes;
+    /// - when the owner sends what no message has asked for, which it does only to end a session
+    ///   whose key is withdrawn.
+    async fn run(
+        &mut self,
+        caller: &mut BufferedStream,
+        owner: &mut BufferedStream,
+    ) -> io::Result<()> {
+        loop {
+            // Read before the key is checked, so that a configuration that comes into force while
+            // bytes are sent ends the wait below.
+            let generation = self.proxy.stop_signal.generation();
+            let replies = self.exchange.take_replies(&mut owner.input);
+            caller.send(&replies.map_err(io::Error::other)?).await?;
+            self.check_key();
+            if !owner.input.is_empty() || self.is_over() {
+                return self.end(caller).await;
+            }
+            let requests = self.take_requests(caller);
+            owner.send(&requests).await?;
+            caller.release_buffer();
+            owner.release_buffer();
+            let is_closing = self.proxy.force_end.get()
+                && !self.exchange.is_reply_due()
+                && !self.exchange.is_request_cut();
+            // Further statements of a withdrawn key are not read before their turn.
+            let may_read = !self.key.is_withdrawn() || !self.exchange.is_reply_due();
+            let bytes_read = monoio::select! {
+                bytes_read = read_if(may_read, caller) => bytes_read?,
+                bytes_read = owner.read_more() => bytes_read?,
+                () = self.proxy.stop_signal.wait_past(generation) => continue,
+                () = reply_silence(is_closing) => return Ok(()),
+            };
+            if bytes_read == 0 {
+                let replies = self.exchange.take_replies(&mut owner.input);
+                return caller.send(&replies.map_err(io::Error::other)?).await;
+            }
+        }
+    }
+
+    fn check_key(&mut self) {
+        self.key
+            .update(self.proxy, self.database, &mut self.identity);
+    }
+
+    fn is_over(&self) -> bool {
+        self.key.is_withdrawn() && self.exchange.is_between_transactions()
+    }
+
+    /// The caller's bytes that may be passed to the owner now. In the transaction that a withdrawn
+    /// key may still end, statements pass one by one, so that none passes behind its end.
+    fn take_requests(&mut self, caller: &mut BufferedStream) -> BytesMut {
+        if !self.key.is_withdrawn() {
+            return self.exchange.take_requests(&mut caller.input);
+        }
+        if self.exchange.is_reply_due() {
+            return BytesMut::new();
+        }
+        self.exchange.take_request(&mut caller.input)
+    }
+
+    /// Ends the session of a withdrawn key. A statement that has arrived and was not passed on
+    /// gets the error.
+    async fn end(&self, caller: &mut BufferedStream) -> io::Result<()> {
+        self.key.log_end(self.database, None);
+        read_arrived(caller).await;
+        if caller.input.is_empty() && !self.exchange.is_request_cut() {
+            return Ok(());
         }
+        let mut out = BytesMut::new();
+        let reply = Reply::error(ErrorKind::Denied, KeyCheck::WITHDRAWN);
+        (self.proxy.codec.reply)(&reply, &mut out);
+        caller.send(&out).await?;
+        close_after_reply(caller).await;
+        Ok(())
     }
 }
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -14,6 +14,7 @@
 //! make it look newer.
 
 mod connect;
+mod exchange;
 mod hand_off;
 mod head;
 mod server;
@@ -26,6 +27,7 @@
 
 pub use connect::announce_stop;
 pub(crate) use connect::{open, push_config};
+pub use exchange::Exchange;
 pub use hand_off::hand_off;
 pub use head::{decode_hand_off, encode_hand_off};
 pub use server::serve;
