Owners of a group are ranked by client account, and kept until the fleet or the configuration changes

Cause: where each connection of a member serves one account only, more owners than the connections suffice for would each hold too few, and an account would need connections at all of them. Besides, owners were chosen with the standard library's hasher, which another version of Rust may change, and `remote_owners` cloned and sorted the list of daemons for every session. Ruled out: keeping the ranking of every account. It is a hash for each of at most eight owners. Where accounts are in force there are fewer owners, in small fleets as well; a session goes to the first owner of its account's ranking that accepts, and an owner serves it itself when those before it do not. `OwnerSet` is computed again when the list of peers, the connections of the group's members or the placement differ. A session without an account is placed as before.

--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -13,6 +13,7 @@
 use schema::Pos;
 
 use crate::failure_detector::PrimaryHealth;
+use crate::owner_set::OwnerSet;
 use crate::{
     Codec, GroupRule, History, Lease, Member, MemberRecord, Peers, ProbeResult, Reply, Role,
     Settings, Status,
@@ -53,6 +54,8 @@
     pub(crate) term_since: Cell<Ms>,
     /// Whether this daemon is an owner of the group.
     pub is_owner: Cell<bool>,
+    /// The owners of the group; `None` before they were first needed.
+    pub(crate) owner_set: RefCell<Option<Rc<OwnerSet>>>,
     /// Number of sessions on this group that this daemon serves.
     pub sessions: Cell<u64>,
     /// Send times of single writes and of commits that await an answer.
@@ -93,6 +96,7 @@
             last_primary: RefCell::default(),
             term_since: Cell::new(Ms::now()),
             is_owner: Cell::new(false),
+            owner_set: RefCell::default(),
             sessions: Cell::new(0),
             pending_writes: RefCell::default(),
             peers: peers.clone(),
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -74,11 +74,13 @@
         let Some((_, group)) = proxy.route(&database) else {
             return Err(link);
         };
-        let Some(owners) = proxy.remote_owners(&group) else {
+        let Some(owners) = proxy.remote_owners(&group, None) else {
             return Err(link);
         };
         match tunnel::hand_off(proxy, &owners, link).await {
             Ok(()) => return Ok(()),
+            // The owners that rank before this one for the account do not accept.
+            Err(returned) if group.is_owner.get() => return Err(returned),
             Err(returned) if deadline.left() == 0 => return Err(returned),
             Err(returned) => link = returned,
         }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,6 +1,6 @@
 //! The other daemons of the fleet, as this one knows them.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -21,6 +21,8 @@
 #[derive(Default)]
 pub struct Peers {
     list: RefCell<Vec<Peer>>,
+    /// Number of changes of the list.
+    generation: Cell<u64>,
     /// Whether `set` has been called.
     is_known: Cell<bool>,
     /// Number of sessions handed off or being offered, by the address of the other daemon; an
@@ -30,11 +32,24 @@
 
 impl Peers {
     /// Replaces the list.
-    pub fn set(&self, peers: Vec<Peer>) {
-        self.list.replace(peers);
+    pub fn set(&self, mut peers: Vec<Peer>) {
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        if peers != *self.list.borrow() {
+            self.list.replace(peers);
+            self.generation.set(self.generation.get() + 1);
+        }
         self.is_known.set(true);
     }
 
+    /// Changes whenever the list does.
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
+    pub(crate) fn list(&self) -> Ref<'_, Vec<Peer>> {
+        self.list.borrow()
+    }
+
     /// Whether the list has been set, even to an empty one.
     pub fn is_known(&self) -> bool {
         self.is_known.get()
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -7,9 +7,10 @@
 
 use base::{Ms, Signal, sleep_ms};
 
+use crate::owner_set::{OwnerBasis, OwnerSet};
 use crate::{
-    Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers, Route, Settings,
-    Stats, owners, tunnel,
+    AccountKey, Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers,
+    Placement, Route, Settings, Stats, tunnel,
 };
 
 /// One daemon.
@@ -26,7 +27,7 @@
     /// Groups by name.
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
     /// Client accounts of the configuration in force.
-    pub accounts: Accounts,
+    pub accounts: Rc<Accounts>,
     /// Time after which an idle transaction is rolled back, in ms.
     pub tx_idle_ms: Cell<u64>,
     /// The other daemons.
@@ -58,7 +59,7 @@
             config_version: Cell::new(0),
             routes: RefCell::default(),
             groups: RefCell::default(),
-            accounts: Accounts::default(),
+            accounts: Rc::default(),
             tx_idle_ms: Cell::new(u64::MAX),
             peers: Rc::default(),
             stats: Stats::default(),
@@ -164,32 +165,43 @@
         self.draining.get() || origin.is_some_and(recent)
     }
 
-    /// The owners of a group in random order, those in this daemon's data centre first; `None` if
-    /// this daemon is an owner, as every daemon of a small fleet is.
-    pub fn remote_owners(&self, group: &Group) -> Option<Vec<Peer>> {
-        let peers = self.peers.all();
+    /// The owners of a group that may serve a session before this daemon does, in the order in which
+    /// they are tried; `None` if this daemon serves it.
+    ///
+    /// Where client accounts are in force, the order is the account's. Otherwise, and for sessions
+    /// without an account, it is random, with those in this daemon's data centre first, and an owner
+    /// serves the sessions that it accepts.
+    pub fn remote_owners(&self, group: &Group, account: Option<AccountKey>) -> Option<Vec<Peer>> {
+        let owners = self.owner_set(group);
+        match account.filter(|_| self.accounts.in_force()) {
+            Some(account) => owners.remote_before(&group.name, &self.accounts.name(account)),
+            None => owners.any_remote(&self.settings.data_center),
+        }
+    }
+
+    /// The owners of a group, computed again if the list of daemons or the configuration has changed.
+    fn owner_set(&self, group: &Group) -> Rc<OwnerSet> {
+        let basis = OwnerBasis {
+            peers: self.peers.generation(),
+            conns: group.rule.borrow().conns,
+            placement: if self.accounts.in_force() {
+                Placement::ByAccount
+            } else {
+                Placement::AnyOwner
+            },
+        };
+        let known = group.owner_set.borrow().clone();
+        if let Some(known) = known.filter(|known| known.basis == basis) {
+            return known;
+        }
         let this_daemon = Candidate {
             name: &self.settings.name,
             data_center: &self.settings.data_center,
         };
-        let others = peers.iter().map(|p| Candidate {
-            name: &p.name,
-            data_center: &p.data_center,
-        });
-        let fleet: Vec<Candidate> = others.chain([this_daemon.clone()]).collect();
-        let conns = group.rule.borrow().conns;
-        let selected = owners(&group.name, conns, &fleet)?;
-        if selected.contains(&this_daemon) {
-            return None;
-        }
-        let mut remote: Vec<Peer> = peers
-            .iter()
-            .filter(|p| selected.iter().any(|c| *c.name == *p.name))
-            .cloned()
-            .collect();
-        fastrand::shuffle(&mut remote);
-        remote.sort_by_key(|p| p.data_center != self.settings.data_center);
-        Some(remote)
+        let peers = self.peers.list();
+        let owners = Rc::new(OwnerSet::new(&group.name, basis, &this_daemon, &peers));
+        group.owner_set.replace(Some(owners.clone()));
+        owners
     }
 
     /// Updates which groups this daemon owns; does nothing before the other daemons are known.
@@ -198,7 +210,7 @@
             return;
         }
         for group in self.groups.borrow().values() {
-            group.is_owner.set(self.remote_owners(group).is_none());
+            group.is_owner.set(self.owner_set(group).is_owner());
         }
     }
 
