Connections to a member are kept, opened and closed by client account

Cause: a connection opened for one account must serve no other, while 85 accounts share the 56 connections of a member. The pool gave any idle connection to any statement, and control commands waited for the same connections. Ruled out: several connections for an account at every eligible member as soon as one statement waits; each costs 12 ms of a slot, so a waiter claims one opening at one member. Also ruled out: to count a statement that lacks a connection as waiting for capacity; the routes of all accounts would then be shed for it. Change: `ConnBudget` decides between an idle connection, an opening, an eviction and waiting, from the table of connections that each member now has (`ConnEntry`, kept by the guard `ConnSlot`). `dispatch` assigns idle connections in the order of rank, with accounts above half of the share last, and opens connections for the rest. Probes and changes of primary have a control connection; one in the name of the VM is kept for it when accounts come into force, so that the lease stays linked. A statement that cannot expect a connection of its account before its deadline is refused as `NoConn`. Without accounts in force the former rules apply.

--- a/crates/proxy/src/accounts.rs
+++ b/crates/proxy/src/accounts.rs
@@ -81,6 +81,11 @@
         self.names.borrow()[key.0 as usize].clone()
     }
 
+    /// Whether the configuration in force has an account.
+    pub fn is_known(&self, key: AccountKey) -> bool {
+        self.known.borrow().contains_key(&key)
+    }
+
     /// Whom a credential belongs to.
     pub fn identify(&self, credential: Credential) -> Option<Identity> {
         let account = *self.by_credential.borrow().get(&credential)?;
--- a/crates/proxy/src/configure.rs
+++ b/crates/proxy/src/configure.rs
@@ -33,6 +33,9 @@
         self.accounts.replace(config.accounts.as_deref());
         self.routes.replace(routes);
         self.update_ownership();
+        for group in self.groups.borrow().values() {
+            group.on_accounts_replaced();
+        }
         self.tx_idle_ms.set(config.tx_idle);
         self.config_version.set(config.version);
     }
@@ -43,7 +46,13 @@
             group.rule.replace(rule.clone());
             return;
         }
-        let group = Group::new(rule.clone(), &self.settings, self.codec, &self.peers);
+        let group = Group::new(
+            rule.clone(),
+            &self.settings,
+            self.codec,
+            &self.peers,
+            &self.accounts,
+        );
         self.groups
             .borrow_mut()
             .insert(rule.name.clone(), group.clone());
--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -11,8 +11,8 @@
 use quick_error::quick_error;
 
 use crate::{
-    Codec, Command, ConnectRequest, ErrorKind, Member, PreparedStatement, Reply, ReplyEnd,
-    ReplyPart, WireError,
+    Codec, Command, ConnKey, ConnSlot, ConnState, ConnectRequest, ErrorKind, Member,
+    PreparedStatement, Purpose, Reply, ReplyEnd, ReplyPart, WireError,
 };
 use crate::{Peer, tunnel};
 
@@ -51,6 +51,7 @@
     pub opened_at: Ms,
     /// When the connection was last released to the pool, or opened.
     pub idle_since: Ms,
+    slot: ConnSlot,
     link: BufferedStream,
     codec: Codec,
     /// Session variables set on the connection by name, each with the statement text that set it.
@@ -63,19 +64,19 @@
 
 impl Conn {
     /// Connects to a member within `timeout_ms` and performs the handshake, which may take four
-    /// times as long. `from` is the name of this VM.
+    /// times as long. `from` is the name in which it is opened, that of this VM or of an account.
     ///
     /// # Errors
     /// `ConnError::Refused` when the member replies with an error to the handshake,
     /// `ConnError::TimedOut` when it does not answer, `ConnError::Io` or `ConnError::Closed` when
     /// it cannot be reached or disconnects, `ConnError::Wire` when its reply cannot be decoded.
     pub async fn open(
-        member: Rc<Member>,
+        slot: ConnSlot,
         codec: Codec,
         from: &str,
         timeout_ms: u64,
     ) -> Result<Conn, ConnError> {
-        let connect = TcpStream::connect_addr(member.addr);
+        let connect = TcpStream::connect_addr(slot.member.addr);
         let stream = monoio::time::timeout(Duration::from_millis(timeout_ms), connect)
             .await
             .map_err(|_| ConnError::TimedOut)??;
@@ -85,14 +86,7 @@
             Some(probe_interval),
             Some(2),
         )?;
-        Conn::handshake(
-            member,
-            BufferedStream::new(stream)?,
-            codec,
-            from,
-            timeout_ms,
-        )
-        .await
+        Conn::handshake(slot, BufferedStream::new(stream)?, codec, from, timeout_ms).await
     }
 
     /// Opens a connection as `open` does, through another daemon.
@@ -101,26 +95,28 @@
     /// As `open`, but `ConnError::Io` for every failure to open the tunnel, timeouts included.
     pub async fn open_tunneled(
         peers: &[Peer],
-        member: Rc<Member>,
+        slot: ConnSlot,
         codec: Codec,
         from: &str,
         timeout_ms: u64,
     ) -> Result<Conn, ConnError> {
-        let link = tunnel::open(peers, member.addr)
+        let link = tunnel::open(peers, slot.member.addr)
             .await
             .map_err(std::io::Error::from)?;
-        Conn::handshake(member, link, codec, from, timeout_ms).await
+        Conn::handshake(slot, link, codec, from, timeout_ms).await
     }
 
     async fn handshake(
-        member: Rc<Member>,
+        slot: ConnSlot,
         link: BufferedStream,
         codec: Codec,
         from: &str,
         timeout_ms: u64,
     ) -> Result<Conn, ConnError> {
+        let member = slot.member.clone();
         member.open_conns.set(member.open_conns.get() + 1);
         let mut conn = Conn {
+            slot,
             link,
             member,
             opened_at: Ms::now(),
@@ -141,12 +137,41 @@
         (codec.connect_request)(&request, &mut out);
         let reply = conn.exchange(&out, timeout_ms * 4).await?;
         conn.opened_at = Ms::now();
+        conn.slot.on_opened(conn.opened_at);
         match reply.end {
             ReplyEnd::Done(_) => Ok(conn),
             ReplyEnd::Error(kind, text) => Err(ConnError::Refused(kind, text)),
         }
     }
 
+    pub(crate) fn key(&self) -> ConnKey {
+        self.slot.key
+    }
+
+    /// What the connection is for.
+    pub fn purpose(&self) -> Purpose {
+        self.slot.purpose()
+    }
+
+    /// Uses a connection that was opened in the name of the VM for something else in that name.
+    pub(crate) fn set_purpose(&self, purpose: Purpose) {
+        self.slot.set_purpose(purpose);
+    }
+
+    /// Records that the connection was released to the pool.
+    pub(crate) fn on_released(&mut self, now: Ms) {
+        self.idle_since = now;
+        if let Some(held_ms) = self.slot.held_ms(now) {
+            self.member.record_hold(held_ms);
+        }
+        self.slot.set_state(ConnState::Idle, now);
+    }
+
+    /// Records that the connection was taken from the pool.
+    pub(crate) fn on_taken(&self, now: Ms) {
+        self.slot.set_state(ConnState::Held, now);
+    }
+
     /// Runs one command. A complete error reply is not an `Err`.
     ///
     /// # Errors
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -6,7 +6,7 @@
 use base::{Event, Ms, emit, sleep_ms};
 use schema::Pos;
 
-use crate::group::Refusal;
+use crate::group::{ConnRequest, Refusal};
 use crate::routing::{Requirement, read_requirement};
 use crate::stats::ReadLabels;
 use crate::{
@@ -186,13 +186,16 @@
         attempts: &Attempts,
     ) -> Result<Conn, Reply> {
         let rank = self.rank(task.arrival);
-        let avoid = attempts.excluded.clone();
-        let is_new = self.retries.get() == 0;
-        let key = self.group.route_key(self.route, task.write);
-        let result = self
-            .group
-            .acquire(requirement, rank, Some(key), avoid, is_new)
-            .await;
+        let account = self.identity.map(|identity| identity.account);
+        let request = ConnRequest {
+            requirement,
+            purpose: self.group.statement_purpose(account),
+            rank,
+            route: Some(self.group.route_key(self.route, task.write)),
+            excluded: attempts.excluded.clone(),
+            is_new: self.retries.get() == 0,
+        };
+        let result = self.group.acquire(request).await;
         self.wait_ms.set(task.arrival.elapsed());
         if let Ok(conn) = &result {
             self.member.replace(conn.member.id.clone());
@@ -225,6 +228,7 @@
             Refusal::Full => "no capacity within the time allowed",
             Refusal::Late => "no member could take it in time",
             Refusal::NoPrimary => "no primary can be used now",
+            Refusal::NoConn => "no connection for the account in time",
         };
         emit(
             Event::StatementNotRun,
--- a/crates/proxy/src/group/conns.rs
+++ b/crates/proxy/src/group/conns.rs
@@ -6,10 +6,10 @@
 
 use super::Group;
 use crate::routing::Requirement;
-use crate::{Command, Conn, ConnError, Member, Rank, ReplyEnd, Status, WireError};
+use crate::{Command, Conn, ConnError, ConnSlot, ErrorKind, Member, Purpose};
 
 /// Timeout for opening a connection, in ms.
-const CONNECT_TIMEOUT_MS: u64 = 400;
+pub(super) const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Time without an answer from a member after which a new connection to it is tried, directly and
 /// through a tunnel, in ms.
 const SILENCE_PROBE_MS: u64 = 300;
@@ -20,16 +20,15 @@
 /// As `KEPT_CONNS`, for a member that has at most one free connection left.
 const KEPT_CONNS_NEARLY_FULL: u64 = 1;
 /// Idle time after which surplus connections to a nearly full member are closed, in ms.
-const IDLE_TIMEOUT_NEARLY_FULL_MS: u64 = 300;
-/// Longest wait for a connection for a control command of the daemon itself, in ms.
-const CONTROL_CONN_WAIT_MS: u64 = 150;
+pub(super) const IDLE_TIMEOUT_NEARLY_FULL_MS: u64 = 300;
 /// Maximum number of connections to one member that are opened for waiting statements.
 const MAX_CONNS_PER_MEMBER: u64 = 8;
 /// Idle time after which surplus connections to a member are closed, in ms.
 const IDLE_TIMEOUT_MS: u64 = 3000;
 
 impl Group {
-    /// Opens connections to the members that are eligible for a waiting statement.
+    /// Opens connections to the members that are eligible for a waiting statement, where no client
+    /// accounts are in force.
     pub(super) fn open_for(&self, requirement: Requirement) {
         let now = Ms::now();
         let members = self.members.borrow().clone();
@@ -38,7 +37,7 @@
             .filter(|m| self.is_eligible(m, requirement, now))
         {
             if self.may_open(member) {
-                self.open(member);
+                self.open(member, Purpose::Statements(None));
             }
         }
     }
@@ -47,7 +46,7 @@
     /// the more of the member's must be left for other daemons.
     fn may_open(&self, member: &Member) -> bool {
         let own = member.open_conns.get();
-        if member.opening.get() || member.removed.get() || member.retry_at.get().left() > 0 {
+        if !may_try_to_open(member) {
             return false;
         }
         let member_limit = self.rule.borrow().conns;
@@ -59,31 +58,38 @@
         }
     }
 
-    /// Keeps at least one connection to a member open, and opens another when the member is silent.
+    /// Keeps at least one connection to a member open that control commands can use, and opens another
+    /// when the member is silent.
     pub fn ensure_conn(&self, member: &Rc<Member>) {
         let silent = member.silent_for(Ms::now()) >= SILENCE_PROBE_MS
             && member.unreachable_since.get().is_none();
         let probe = silent && !member.opening.get() && !member.removed.get();
-        if probe || (member.open_conns.get() == 0 && self.may_open(member)) {
-            self.open(member);
+        if probe || (self.lacks_control_conn(member) && may_try_to_open(member)) {
+            self.open(member, self.control_purpose());
         }
     }
 
-    fn open(&self, member: &Rc<Member>) {
+    pub(super) fn open(&self, member: &Rc<Member>, purpose: Purpose) {
         let Some(group) = self.weak_self.upgrade() else {
             return;
         };
-        member.opening.set(true);
+        let is_control = purpose == self.control_purpose();
+        if is_control {
+            member.opening.set(true);
+        }
+        let slot = ConnSlot::new(member.clone(), purpose);
         let member = member.clone();
         if member.unreachable_since.get().is_some()
             || member.silent_for(Ms::now()) >= SILENCE_PROBE_MS
         {
-            monoio::spawn(group.clone().open_tunnel(member.clone()));
+            monoio::spawn(group.clone().open_tunnel(member.clone(), purpose));
         }
         monoio::spawn(async move {
-            let result =
-                Conn::open(member.clone(), group.codec, &group.vm, CONNECT_TIMEOUT_MS).await;
-            member.opening.set(false);
+            let name = group.conn_name(purpose);
+            let result = Conn::open(slot, group.codec, &name, CONNECT_TIMEOUT_MS).await;
+            if is_control {
+                member.opening.set(false);
+            }
             match result {
                 Ok(conn) => group.on_connected(conn).await,
                 Err(e) => group.on_connect_failed(&member, &e),
@@ -92,12 +98,16 @@
     }
 
     /// Opens a connection to a silent or unreachable member through a tunnel over another daemon.
-    async fn open_tunnel(self: Rc<Self>, member: Rc<Member>) {
-        if member.tunneling.replace(true) {
+    async fn open_tunnel(self: Rc<Self>, member: Rc<Member>, purpose: Purpose) {
+        let is_control = purpose == self.control_purpose();
+        if is_control && member.tunneling.replace(true) {
             return;
         }
-        let result = self.connect_through_peer(&member).await;
-        member.tunneling.set(false);
+        let slot = ConnSlot::new(member.clone(), purpose);
+        let result = self.open_through_peer(slot).await;
+        if is_control {
+            member.tunneling.set(false);
+        }
         // A tunnel that cannot be opened says nothing about the member.
         if let Ok(conn) = result {
             emit(
@@ -116,6 +126,9 @@
                 &[("group", &self.name), ("member", &member.id)],
             );
         }
+        if conn.purpose() != self.control_purpose() {
+            return self.release(conn);
+        }
         match self
             .send_control(&mut conn, &Command::Status, CONNECT_TIMEOUT_MS)
             .await
@@ -128,7 +141,10 @@
     fn on_connect_failed(&self, member: &Rc<Member>, e: &ConnError) {
         let now = Ms::now();
         member.retry_at.set(now.plus(CONNECT_RETRY_MS));
-        if let ConnError::Refused(..) = e {
+        if let ConnError::Refused(kind, _) = e {
+            if *kind == ErrorKind::TooMany {
+                self.give_back(member);
+            }
             return;
         }
         member.conns_refused.set(e.is_disconnect());
@@ -158,81 +174,10 @@
             // gone.
             self.ensure_conn(member);
         }
-    }
-
-    /// Sends a control command, which the member answers with its status, and updates the group
-    /// from that.
-    ///
-    /// # Errors
-    /// As `Conn::run`; `ConnError::Refused` on an error reply, `ConnError::Wire` when the reply
-    /// contains no status.
-    pub async fn send_control(
-        &self,
-        conn: &mut Conn,
-        command: &Command<'_>,
-        timeout_ms: u64,
-    ) -> Result<Status, ConnError> {
-        let sent_at = Ms::now();
-        let reply = conn.run(command, timeout_ms).await?;
-        let row = reply.rows.first();
-        let status = row.and_then(|row| (self.codec.status)(row));
-        let Some(status) = status else {
-            return Err(match reply.end {
-                ReplyEnd::Error(kind, text) => ConnError::Refused(kind, text),
-                ReplyEnd::Done(_) => ConnError::Wire(WireError::Malformed),
-            });
-        };
-        let member = conn.member.clone();
-        self.on_status(&member, &status, sent_at, conn.opened_at);
-        self.on_reply(&member, sent_at, &reply);
-        Ok(status)
-    }
-
-    /// Opens a new connection for a control command, regardless of the limits on connections.
-    ///
-    /// # Errors
-    /// As `Conn::open`.
-    pub async fn connect(&self, member: &Rc<Member>) -> Result<Conn, ConnError> {
-        Conn::open(member.clone(), self.codec, &self.vm, CONNECT_TIMEOUT_MS).await
-    }
-
-    /// Opens a connection for a control command through another daemon.
-    ///
-    /// # Errors
-    /// As `Conn::open_tunneled`.
-    pub async fn connect_through_peer(&self, member: &Rc<Member>) -> Result<Conn, ConnError> {
-        let peers = self
-            .peers
-            .tunnel_candidates(&member.record.borrow().data_center);
-        let member = member.clone();
-        Conn::open_tunneled(&peers, member, self.codec, &self.vm, CONNECT_TIMEOUT_MS).await
-    }
-
-    /// Acquires a connection from the pool for a control command of the daemon itself, with the
-    /// highest priority; opens one if there is none to the member.
-    ///
-    /// # Errors
-    /// As `Conn::open`; `ConnError::TimedOut` when no connection became free in time.
-    pub async fn control_conn(&self, member: &Rc<Member>) -> Result<Conn, ConnError> {
-        if member.open_conns.get() == 0 {
-            return Conn::open(member.clone(), self.codec, &self.vm, CONNECT_TIMEOUT_MS).await;
+        // Another statement may need a connection in place of the lost one.
+        if self.accounts.in_force() {
+            self.dispatch();
         }
-        let now = Ms::now();
-        let rank = Rank {
-            priority: 0,
-            target: now,
-            deadline: now.plus(CONTROL_CONN_WAIT_MS),
-        };
-        let conn = self
-            .acquire(
-                Requirement::Member(member.key),
-                rank,
-                None,
-                Vec::new(),
-                true,
-            )
-            .await;
-        conn.map_err(|_| ConnError::TimedOut)
     }
 
     /// Closes all idle connections.
@@ -246,6 +191,10 @@
     /// connections and no longer matter for a primary change.
     pub fn trim(&self) {
         for member in self.members.borrow().iter() {
+            if self.accounts.in_force() {
+                self.trim_by_account(member);
+                continue;
+            }
             let mut idle = member.idle_conns.borrow_mut();
             let member_limit = self.rule.borrow().conns;
             let nearly_full = member
@@ -275,3 +224,7 @@
         });
     }
 }
+
+fn may_try_to_open(member: &Member) -> bool {
+    !member.opening.get() && !member.removed.get() && member.retry_at.get().left() == 0
+}
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -1,6 +1,9 @@
 //! A group: its members, the lease on its primary, and its wait queue.
 
+mod account_conns;
 mod conns;
+mod control_conns;
+mod dispatch;
 mod fence_set;
 mod queue_stats;
 mod routes;
@@ -15,15 +18,15 @@
 use crate::failure_detector::PrimaryHealth;
 use crate::owner_set::OwnerSet;
 use crate::{
-    Codec, GroupRule, History, Lease, Member, MemberRecord, Peers, ProbeResult, Reply, Role,
-    Settings, Status,
+    Accounts, Codec, GroupRule, History, Lease, Member, MemberRecord, Peers, ProbeResult, Reply,
+    Role, Settings, Status,
 };
 
 use queue_stats::QueueStats;
 pub use routes::RouteKey;
 use routes::RouteStats;
-pub(crate) use wait_queue::Refusal;
 use wait_queue::Waiter;
+pub(crate) use wait_queue::{ConnRequest, Refusal};
 
 /// Time without a lease from which statements for the primary are refused at once, in ms.
 const MAX_LEASE_WAIT_MS: u64 = 900;
@@ -60,6 +63,7 @@
     pub sessions: Cell<u64>,
     /// Send times of single writes and of commits that await an answer.
     pub pending_writes: RefCell<Vec<Ms>>,
+    accounts: Rc<Accounts>,
     /// Other daemons, through which a tunnel to a member can be opened.
     peers: Rc<Peers>,
     /// Name of this VM.
@@ -85,7 +89,13 @@
 
 impl Group {
     /// Creates a group without members.
-    pub fn new(rule: GroupRule, settings: &Settings, codec: Codec, peers: &Rc<Peers>) -> Rc<Group> {
+    pub fn new(
+        rule: GroupRule,
+        settings: &Settings,
+        codec: Codec,
+        peers: &Rc<Peers>,
+        accounts: &Rc<Accounts>,
+    ) -> Rc<Group> {
         Rc::new_cyclic(|weak| Group {
             name: rule.name.clone(),
             rule: RefCell::new(rule),
@@ -99,6 +109,7 @@
             owner_set: RefCell::default(),
             sessions: Cell::new(0),
             pending_writes: RefCell::default(),
+            accounts: accounts.clone(),
             peers: peers.clone(),
             vm: settings.name.clone(),
             data_center: settings.data_center.clone(),
@@ -278,7 +289,7 @@
         } else if member.fenced_since.get().is_none() {
             member.fenced_since.set(Some(sent_at));
         }
-        member.status.set(Some(*status));
+        member.record_status(status);
         let probe = ProbeResult {
             sent_at,
             received_at: Ms::now(),
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -1,4 +1,4 @@
-//! Wait queue of a group: statements that wait for a connection, and how connections are assigned.
+//! Wait queue of a group: statements that wait for a connection, and which of them are refused.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -9,21 +9,35 @@
 use super::Group;
 use super::queue_stats::Class;
 use super::routes::RouteKey;
-use crate::routing::{Requirement, cost};
-use crate::{Conn, Member, Rank, is_servable};
+use crate::routing::Requirement;
+use crate::{Conn, Member, Purpose, Rank, is_servable};
+
+/// What a statement or a control command needs a connection for.
+pub struct ConnRequest {
+    pub requirement: Requirement,
+    /// What the connection must be for.
+    pub purpose: Purpose,
+    pub rank: Rank,
+    /// `None` for control commands.
+    pub route: Option<RouteKey>,
+    /// Members that have already failed to run the statement.
+    pub excluded: Vec<Box<str>>,
+    /// False for a statement that is tried again.
+    pub is_new: bool,
+}
 
 /// A statement that waits for a connection.
 pub(super) struct Waiter {
-    rank: Rank,
-    requirement: Requirement,
+    pub(super) request: ConnRequest,
     /// Slot time that the statement takes, in ms.
-    service_ms: f64,
+    pub(super) service_ms: f64,
     /// As of the arrival or the latest `refuse_hopeless`.
-    class: Cell<Class>,
-    /// Members that have already failed to run the statement.
-    excluded: Vec<Box<str>>,
+    pub(super) class: Cell<Class>,
+    /// Whether it waits for a connection of its account, and not for a slot; as of the latest
+    /// `dispatch`.
+    pub(super) waits_for_conn: Cell<bool>,
     /// Set by `dispatch` or `refuse_hopeless`.
-    result: RefCell<Option<Result<Conn, Refusal>>>,
+    pub(super) result: RefCell<Option<Result<Conn, Refusal>>>,
     ready: Signal,
 }
 
@@ -36,6 +50,8 @@
     Late,
     /// No primary is usable, nor expected to be soon.
     NoPrimary,
+    /// No connection of the statement's account is expected to be free in time.
+    NoConn,
 }
 
 impl Group {
@@ -76,25 +92,18 @@
     }
 
     /// Acquires a connection to an eligible member: an idle one, or else one that `dispatch`
-    /// assigns in the order of the wait queue. `route` is `None` for control commands; `is_new` is
-    /// false for a statement that is tried again.
+    /// assigns in the order of the wait queue.
     ///
     /// # Errors
     /// Why the statement gets no connection.
-    pub async fn acquire(
-        &self,
-        requirement: Requirement,
-        rank: Rank,
-        route: Option<RouteKey>,
-        excluded: Vec<Box<str>>,
-        is_new: bool,
-    ) -> Result<Conn, Refusal> {
-        let class = self.class(requirement, Ms::now());
-        if let Some(route) = route.filter(|_| is_new) {
+    pub async fn acquire(&self, request: ConnRequest) -> Result<Conn, Refusal> {
+        let (rank, is_new) = (request.rank, request.is_new);
+        let class = self.class(request.requirement, Ms::now());
+        if let Some(route) = request.route.filter(|_| is_new) {
             self.queue_stats.record_arrival(class, route, Ms::now());
         }
-        let service_ms = route.map_or(0.0, |route| self.route_cost(route).1);
-        if let Some(conn) = self.take_idle(requirement, &excluded).await {
+        let service_ms = request.route.map_or(0.0, |route| self.route_cost(route).1);
+        if let Some(conn) = self.take_idle(&request).await {
             self.queue_stats.update(class, |t| {
                 t.record_arrival(is_new, Ms::now());
                 t.record_service(service_ms, Ms::now());
@@ -102,39 +111,74 @@
             return Ok(conn);
         }
         let now = Ms::now();
-        if rank.deadline <= now {
-            return Err(Refusal::Late);
-        }
-        if matches!(requirement, Requirement::Primary(_)) && self.is_primary_unavailable() {
-            return Err(Refusal::NoPrimary);
-        }
-        let is_admitted = route.filter(|_| is_new).is_none_or(|route| {
-            let cost = |route| self.route_cost(route);
-            self.queue_stats.admit(class, route, cost, now)
-        });
-        if !is_admitted || !self.is_servable(requirement, class, &rank, now) {
-            return Err(Refusal::Full);
-        }
+        self.check_arrival(&request, class, now)?;
+        let requirement = request.requirement;
         let waiter = Rc::new(Waiter {
-            rank,
-            requirement,
+            request,
             service_ms,
             class: Cell::new(class),
-            excluded,
+            waits_for_conn: Cell::new(false),
             result: RefCell::default(),
             ready: Signal::default(),
         });
         self.waiters.borrow_mut().push(waiter.clone());
         self.queue_stats
             .update(class, |t| t.record_arrival(is_new, now));
-        self.update_busy(now);
         let _guard = WaiterGuard(self, waiter.clone());
-        self.open_for(requirement);
         let seen = waiter.ready.generation();
+        if self.accounts.in_force() {
+            self.dispatch();
+        } else {
+            self.update_busy(now);
+            self.open_for(requirement);
+        }
         let wait = Duration::from_millis(rank.deadline.left());
         let _ = monoio::time::timeout(wait, waiter.ready.wait_past(seen)).await;
         let result = waiter.result.borrow_mut().take();
-        result.unwrap_or(Err(Refusal::Late))
+        let late = if waiter.waits_for_conn.get() {
+            Refusal::NoConn
+        } else {
+            Refusal::Late
+        };
+        result.unwrap_or(Err(late))
+    }
+
+    /// Whether a new statement may wait.
+    ///
+    /// # Errors
+    /// Why it is refused at once.
+    fn check_arrival(&self, request: &ConnRequest, class: Class, now: Ms) -> Result<(), Refusal> {
+        if request.rank.deadline <= now {
+            return Err(Refusal::Late);
+        }
+        let needs_primary = matches!(request.requirement, Requirement::Primary(_));
+        if needs_primary && self.is_primary_unavailable() {
+            return Err(Refusal::NoPrimary);
+        }
+        let is_admitted = request
+            .route
+            .filter(|_| request.is_new)
+            .is_none_or(|route| {
+                let cost = |route| self.route_cost(route);
+                self.queue_stats.admit(class, route, cost, now)
+            });
+        if !is_admitted || !self.is_servable(request.requirement, class, &request.rank, now) {
+            return Err(Refusal::Full);
+        }
+        if self.is_conn_out_of_reach(request, &self.purposes_ahead(&request.rank, now), now) {
+            return Err(Refusal::NoConn);
+        }
+        Ok(())
+    }
+
+    /// What the connections are for that statements ahead of a rank wait for.
+    fn purposes_ahead(&self, rank: &Rank, now: Ms) -> Vec<Purpose> {
+        let key = rank.key(now);
+        let waiters = self.waiters.borrow();
+        let ahead = waiters
+            .iter()
+            .filter(|w| w.class.get() != Class::Control && w.request.rank.key(now) < key);
+        ahead.map(|w| w.request.purpose).collect()
     }
 
     /// Records that a member turned away a statement that had got a connection.
@@ -145,10 +189,14 @@
     }
 
     /// Records for each class whether statements are waiting. Those for a primary that cannot be
-    /// used now say nothing about its capacity.
-    fn update_busy(&self, now: Ms) {
+    /// used now say nothing about its capacity, and neither do those that only lack a connection of
+    /// their account.
+    pub(super) fn update_busy(&self, now: Ms) {
         let waiters = self.waiters.borrow();
-        let is_waiting = |class: Class| waiters.iter().any(|w| w.class.get() == class);
+        let is_waiting = |class: Class| {
+            let of_class = |w: &Rc<Waiter>| w.class.get() == class && !w.waits_for_conn.get();
+            waiters.iter().any(of_class)
+        };
         let has_primary = self.primary_until() > now;
         let primary = has_primary && is_waiting(Class::Primary);
         let any = is_waiting(Class::Any);
@@ -164,7 +212,7 @@
         let ahead = {
             let waiters = self.waiters.borrow();
             let competing = waiters.iter().filter(|w| w.class.get() == class);
-            competing.filter(|w| w.rank.key(now) < key).count()
+            competing.filter(|w| w.request.rank.key(now) < key).count()
         };
         let Some(load) = self.queue_stats.load(class, now) else {
             return true;
@@ -187,107 +235,51 @@
         if self.waiters.borrow().is_empty() {
             return;
         }
+        // Connections can be opened again after a refusal, or closed because they have aged.
+        if self.accounts.in_force() {
+            self.dispatch();
+        }
         let now = Ms::now();
         self.update_busy(now);
         let unavailable = self.is_primary_unavailable();
         let waiters = self.waiters.borrow().clone();
         for waiter in &waiters {
-            waiter.class.set(self.class(waiter.requirement, now));
+            waiter
+                .class
+                .set(self.class(waiter.request.requirement, now));
         }
         for waiter in waiters {
-            let class = waiter.class.get();
-            let needs_primary = matches!(waiter.requirement, Requirement::Primary(_));
-            let refusal = if needs_primary && unavailable {
-                Refusal::NoPrimary
-            } else if self.is_servable(waiter.requirement, class, &waiter.rank, now) {
+            let Some(refusal) = self.reason_to_refuse(&waiter, unavailable, now) else {
                 continue;
-            } else {
-                Refusal::Full
             };
+            let class = waiter.class.get();
             self.queue_stats.update(class, |t| t.record_departure(now));
             self.settle(&waiter, Err(refusal));
         }
         self.update_busy(now);
     }
 
-    /// Takes a waiter out of the queue with its result.
-    fn settle(&self, waiter: &Rc<Waiter>, result: Result<Conn, Refusal>) {
-        waiter.result.replace(Some(result));
-        self.waiters.borrow_mut().retain(|w| !Rc::ptr_eq(w, waiter));
-        waiter.ready.notify();
-    }
-
-    /// Takes an idle connection to the cheapest eligible member.
-    async fn take_idle(&self, requirement: Requirement, excluded: &[Box<str>]) -> Option<Conn> {
-        loop {
-            let now = Ms::now();
-            let best = {
-                let members = self.members.borrow();
-                let eligible = members.iter().filter(|m| {
-                    !m.idle_conns.borrow().is_empty()
-                        && !excluded.contains(&m.id)
-                        && self.is_eligible(m, requirement, now)
-                });
-                eligible
-                    .min_by(|a, b| {
-                        cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
-                    })
-                    .cloned()
-            };
-            let best = best?;
-            let Some(mut conn) = pop_idle(&best, requirement) else {
-                continue;
-            };
-            if conn.is_reusable().await {
-                return Some(conn);
-            }
+    /// Why a waiting statement is not expected to be served in time any more, if so.
+    fn reason_to_refuse(&self, waiter: &Waiter, unavailable: bool, now: Ms) -> Option<Refusal> {
+        let request = &waiter.request;
+        if matches!(request.requirement, Requirement::Primary(_)) && unavailable {
+            return Some(Refusal::NoPrimary);
         }
-    }
-
-    /// Returns a connection to the pool, from where it may be assigned to a waiter; closes it if
-    /// its member was removed.
-    pub fn release(&self, mut conn: Conn) {
-        let member = conn.member.clone();
-        if member.removed.get() {
-            return;
+        if waiter.waits_for_conn.get() {
+            let ahead = self.purposes_ahead(&request.rank, now);
+            let is_out_of_reach = self.is_conn_out_of_reach(request, &ahead, now);
+            return is_out_of_reach.then_some(Refusal::NoConn);
         }
-        conn.idle_since = Ms::now();
-        member.idle_conns.borrow_mut().push(conn);
-        self.dispatch();
+        let class = waiter.class.get();
+        let is_servable = self.is_servable(request.requirement, class, &request.rank, now);
+        (!is_servable).then_some(Refusal::Full)
     }
 
-    /// Assigns idle connections to waiters: to control commands first, since the lease depends on
-    /// them, then in the order of their rank.
-    pub fn dispatch(&self) {
-        if self.waiters.borrow().is_empty() {
-            return;
-        }
-        let now = Ms::now();
-        let mut order = self.waiters.borrow().clone();
-        order.sort_by_key(|w| (w.class.get() != Class::Control, w.rank.key(now)));
-        let members = self.members.borrow().clone();
-        for waiter in order {
-            if waiter.result.borrow().is_some() {
-                continue;
-            }
-            let eligible = members.iter().filter(|m| {
-                !m.idle_conns.borrow().is_empty()
-                    && !waiter.excluded.contains(&m.id)
-                    && self.is_eligible(m, waiter.requirement, now)
-            });
-            let best = eligible.min_by(|a, b| {
-                cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
-            });
-            let Some(best) = best else { continue };
-            let Some(conn) = pop_idle(best, waiter.requirement) else {
-                continue;
-            };
-            self.queue_stats.update(waiter.class.get(), |t| {
-                t.record_service(waiter.service_ms, now);
-            });
-            self.settle(&waiter, Ok(conn));
-        }
-        self.update_busy(now);
+    /// Takes a waiter out of the queue with its result.
+    pub(super) fn settle(&self, waiter: &Rc<Waiter>, result: Result<Conn, Refusal>) {
+        waiter.result.replace(Some(result));
+        self.waiters.borrow_mut().retain(|w| !Rc::ptr_eq(w, waiter));
+        waiter.ready.notify();
     }
 
     /// Number of waiting statements.
@@ -296,22 +288,6 @@
     }
 }
 
-/// Takes the idle connection released last, or, for control commands of the daemon itself, the one
-/// opened first: a probe result is linked to the previous one only if its connection is older than
-/// that result.
-fn pop_idle(member: &Member, requirement: Requirement) -> Option<Conn> {
-    let mut idle = member.idle_conns.borrow_mut();
-    let Requirement::Member(_) = requirement else {
-        return idle.pop();
-    };
-    let oldest = idle
-        .iter()
-        .enumerate()
-        .min_by_key(|(_, conn)| conn.opened_at);
-    let i = oldest.map(|(i, _)| i)?;
-    Some(idle.remove(i))
-}
-
 /// Drop guard that removes a waiter from the queue and releases a connection that was not used.
 struct WaiterGuard<'a>(&'a Group, Rc<Waiter>);
 
--- a/crates/proxy/src/health_check.rs
+++ b/crates/proxy/src/health_check.rs
@@ -18,6 +18,9 @@
 const PROBE_TIMEOUT_MS: u64 = 400;
 /// Age at which the probe result of the primary, which the lease does not need, is renewed, in ms.
 const PRIMARY_PROBE_INTERVAL_MS: u64 = 2000;
+/// Age at which a member's probe result is renewed while this daemon has more connections to it than
+/// its share, in ms: it gives them back when the member reports that it is nearly full.
+const ABOVE_SHARE_PROBE_INTERVAL_MS: u64 = 200;
 /// Age at which the newest position sample of the primary is renewed, in ms.
 const POSITION_INTERVAL_MS: u64 = 400;
 
@@ -82,7 +85,12 @@
             (false, true) if position_stale => POSITION_INTERVAL_MS,
             (false, true) => PRIMARY_PROBE_INTERVAL_MS,
         };
-        m.open_conns.get() > 0 && age >= max_age && !m.probing.get()
+        let max_age = if group.is_above_share(m) {
+            max_age.min(ABOVE_SHARE_PROBE_INTERVAL_MS)
+        } else {
+            max_age
+        };
+        group.has_control_conn(m) && age >= max_age && !m.probing.get()
     };
     group.listed().into_iter().filter(is_due).collect()
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! Serves callers' sessions from groups of replicated databases.
 //!
 //! The decision modules (`lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
-//! `lag_backoff`, `ownership`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
+//! `lag_backoff`, `ownership`, `conn_budget`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
 //! and are called by the code that uses sockets. The crate depends on no wire protocol and on no
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
@@ -10,6 +10,9 @@
 mod config_push;
 mod configure;
 mod conn;
+mod conn_budget;
+mod conn_entry;
+mod conn_slot;
 mod credential;
 mod exec;
 mod failover;
@@ -46,6 +49,9 @@
 pub use accounts::{AccountKey, Accounts, Identity};
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
 pub use conn::{Conn, ConnError};
+pub use conn_budget::{ConnBudget, ConnStep};
+pub use conn_entry::{ConnEntry, ConnKey, ConnState, Purpose};
+pub use conn_slot::ConnSlot;
 pub use credential::Credential;
 pub use failover_api::{
     AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Promotion,
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -6,7 +6,9 @@
 use base::Ms;
 use schema::Pos;
 
-use crate::{Conn, LagBackoff, MemberKey, MemberRecord, ProbeResult, Role, Status};
+use crate::{
+    Conn, ConnEntry, ConnState, LagBackoff, MemberKey, MemberRecord, ProbeResult, Role, Status,
+};
 
 /// Weight of the newest sample in the mean latency.
 const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
@@ -16,6 +18,11 @@
 /// Mean latency assumed while there are no samples, in ms.
 const INITIAL_LATENCY_MS: f64 = 12.0;
 
+/// Weight of the newest sample in the mean time for which a connection is held.
+const HOLD_SAMPLE_WEIGHT: f64 = 0.05;
+/// Mean time for which a connection is held, while there are no samples, in ms.
+const INITIAL_HOLD_MS: f64 = 20.0;
+
 /// Longest time from the choice of a member until a statement has reached it, in ms.
 const DRAIN_MARGIN_MS: u64 = 1000;
 
@@ -51,9 +58,15 @@
     rolled_back: Cell<Option<Pos>>,
     /// Connections that no session holds, the last released one last.
     pub(crate) idle_conns: RefCell<Vec<Conn>>,
+    /// All connections of this daemon, including those being opened.
+    pub(crate) conns: RefCell<Vec<ConnEntry>>,
+    /// Number of `conns` that were open when the member last reported its own number.
+    conns_at_status: Cell<usize>,
+    /// Mean time for which a connection is held, in ms.
+    hold_ms: Cell<f64>,
     /// Number of open connections, including idle ones.
     pub(crate) open_conns: Cell<u64>,
-    /// Whether a direct connection for the pool is being opened.
+    /// Whether a direct connection that control commands can use is being opened for the pool.
     pub(crate) opening: Cell<bool>,
     /// Whether a connection through another daemon is being opened.
     pub(crate) tunneling: Cell<bool>,
@@ -99,6 +112,9 @@
             pos: Cell::new(Pos::ZERO),
             rolled_back: Cell::new(None),
             idle_conns: RefCell::default(),
+            conns: RefCell::default(),
+            conns_at_status: Cell::new(0),
+            hold_ms: Cell::new(INITIAL_HOLD_MS),
             open_conns: Cell::new(0),
             opening: Cell::new(false),
             tunneling: Cell::new(false),
@@ -133,6 +149,38 @@
         Some(since.plus(drain_ms.saturating_sub(DRAIN_MARGIN_MS)))
     }
 
+    /// Records a status response.
+    pub(crate) fn record_status(&self, status: &Status) {
+        self.status.set(Some(*status));
+        let conns = self.conns.borrow();
+        let open = conns.iter().filter(|c| c.state != ConnState::Opening);
+        self.conns_at_status.set(open.count());
+    }
+
+    /// Number of connections that the member has from all daemons: as last reported, with this
+    /// daemon's changes since.
+    pub(crate) fn used_conns(&self) -> u64 {
+        let own = self.conns.borrow().len();
+        let opened = own.saturating_sub(self.conns_at_status.get());
+        let closed = self.conns_at_status.get().saturating_sub(own);
+        let reported = self.status.get().map_or(0, |s| s.conns);
+        let to_u64 = |n| u64::try_from(n).unwrap_or(u64::MAX);
+        (reported + to_u64(opened)).saturating_sub(to_u64(closed))
+    }
+
+    /// Adds a sample to the mean time for which a connection is held.
+    pub(crate) fn record_hold(&self, ms: u64) {
+        let sample = f64::from(u32::try_from(ms).unwrap_or(u32::MAX));
+        let mean = self.hold_ms.get();
+        self.hold_ms
+            .set(mean + (sample - mean) * HOLD_SAMPLE_WEIGHT);
+    }
+
+    /// Mean time for which a connection is held, in ms.
+    pub(crate) fn hold_ms(&self) -> f64 {
+        self.hold_ms.get()
+    }
+
     /// Whether the platform lists the member as primary and there is no valid probe result.
     pub fn is_presumed_primary(&self) -> bool {
         self.last_probe.get().is_none() && self.record.borrow().role == Role::Primary
