world: client accounts, records of connections and statements

Cause: part 7 of docs/design/client-accounts.md judges daemons by the names that members see, the statements they run and the connections they hold. The stand-in recorded only the identifiers of statements that reached a group.

Ruled out: recording the instant at which a statement starts to run. Faults hold statements back inside the stand-in, which would move operations of several seconds into one window; the instant of receipt is recorded.

Change: a member records the names of its connections, their highest number, refusals, and each read, write and commit that it runs. A group has a connection limit that tests can set. The store records when some daemon could not read it. Each daemon gets member addresses of its own, since a connection in an account's name does not tell which daemon a cut must hold back.

--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints of the store and of the promotion API.
 
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 
 use base::Ms;
@@ -38,19 +39,37 @@
     (listener, addr)
 }
 
-/// Serves the store to one daemon on a new port and returns the address.
-pub fn serve_store(world: Rc<World>, daemon: &str) -> String {
+/// Serves the store to one daemon on a new port and returns the address. The daemon gets addresses
+/// of the members with the address `member_ip`.
+pub fn serve_store(world: Rc<World>, daemon: &str, member_ip: Ipv4Addr) -> String {
     let daemon: Rc<str> = daemon.into();
     let store = world.store.clone();
     serve(
         move || Some(store.era.get()),
         move |request| {
             let (world, daemon) = (world.clone(), daemon.clone());
-            async move { handle_store_request(&world.store, &daemon, &request).await }
+            async move {
+                let answer = handle_store_request(&world.store, &daemon, &request).await?;
+                let is_of_members = request.path_segments.get(2).is_some_and(|k| k == "servers");
+                Ok(if is_of_members {
+                    (answer.0, replace_ip(&answer.1, member_ip))
+                } else {
+                    answer
+                })
+            }
         },
     )
 }
 
+/// Replaces the address that all members listen on by one that they listen on for a single daemon.
+fn replace_ip(answer: &Value, member_ip: Ipv4Addr) -> Value {
+    let shared = format!("\"{}:", Ipv4Addr::LOCALHOST);
+    let text = answer
+        .to_string()
+        .replace(&shared, &format!("\"{member_ip}:"));
+    serde_json::from_str(&text).expect("an address is replaced by another")
+}
+
 /// Serves the promotion API to one daemon on a new port and returns the address.
 pub fn serve_promotion_api(world: Rc<World>, daemon: &str) -> String {
     let daemon: Rc<str> = daemon.into();
--- a/crates/world/src/group.rs
+++ b/crates/world/src/group.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::{Rc, Weak};
 
 use base::{Ms, Signal};
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::store::Store;
-use crate::{member, sleep_ms};
+use crate::{StatementRun, member, sleep_ms};
 
 /// Time between the crash of a member and the removal of its object from the store.
 const OBJECT_EXPIRY_MS: u64 = 3600;
@@ -66,6 +66,16 @@
     pub busy_slots: Cell<u64>,
     /// Open connections, including those about to be refused.
     pub conns: Cell<u64>,
+    /// Connections that passed the handshake and are open.
+    pub accepted_conns: Cell<u64>,
+    /// Highest value of `accepted_conns` so far.
+    pub peak_conns: Cell<u64>,
+    /// Connections refused with CONNLIMIT so far.
+    pub refused_conns: Cell<u64>,
+    /// Names in the `CONNECT` of the connections that passed the handshake, oldest first.
+    pub conn_names: RefCell<Vec<Box<str>>>,
+    /// Reads, writes and commits that the member ran, in the order of their start.
+    pub runs: RefCell<Vec<StatementRun>>,
     /// Fault: factor on the run time of statements; 1 is normal speed.
     pub slowdown: Cell<u64>,
     /// Notified when a statement releases its slot.
@@ -85,6 +95,9 @@
     pub log_changed: Signal,
     /// Identifiers of the reads, writes and commits that reached a member, executed or not.
     pub received_ids: RefCell<HashSet<Box<str>>>,
+    /// Connections that each member accepts; further ones get CONNLIMIT. A change is announced by
+    /// the next `World::configure`.
+    pub max_conns: Cell<u64>,
     promote_ms: u64,
     /// Number of the newest promotion ordered; earlier ones that are not complete have no effect.
     pending_promotion: Cell<u64>,
@@ -132,6 +145,7 @@
             primary: Cell::new(0),
             log_changed: Signal::default(),
             received_ids: RefCell::default(),
+            max_conns: Cell::new(member::DEFAULT_MAX_CONNS),
             promote_ms,
             pending_promotion: Cell::new(0),
             store: store.clone(),
@@ -139,13 +153,29 @@
             restarts: Cell::new(0),
         });
         for (member, listener) in group.members.iter().zip(listeners) {
-            monoio::spawn(member::accept(group.clone(), member.clone(), listener));
+            monoio::spawn(member::accept(
+                group.clone(),
+                member.clone(),
+                listener,
+                None,
+            ));
             group.publish(member);
         }
         monoio::spawn(replicate(group.clone()));
         group
     }
 
+    /// Lets the members also accept connections of a daemon at the same ports of another address.
+    pub(crate) fn listen_for(self: &Rc<Group>, daemon: &str, ip: Ipv4Addr) {
+        for member in &self.members {
+            let addr = SocketAddr::from((ip, member.addr.port()));
+            let listener = TcpListener::bind(addr).expect("failed to bind a loopback port");
+            let accept =
+                member::accept(self.clone(), member.clone(), listener, Some(daemon.into()));
+            monoio::spawn(accept);
+        }
+    }
+
     /// Writes the object of a member to the store.
     pub fn publish(&self, member: &Member) {
         let role = if member.is_primary.get() {
@@ -337,6 +367,11 @@
             admitted: Cell::new(0),
             busy_slots: Cell::new(0),
             conns: Cell::new(0),
+            accepted_conns: Cell::new(0),
+            peak_conns: Cell::new(0),
+            refused_conns: Cell::new(0),
+            conn_names: RefCell::default(),
+            runs: RefCell::default(),
             slowdown: Cell::new(1),
             slot_freed: Signal::default(),
             index,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -5,17 +5,22 @@
 //! tests can check the guarantees of the daemons against them.
 
 mod api;
+mod client_account;
 mod group;
 mod member;
+mod statement_run;
 mod store;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 
 use serde_json::{Value, json};
 
+pub use client_account::ClientAccount;
 pub use group::{Entry, Group, Member};
+pub use statement_run::StatementRun;
 pub use store::{Outage, Store};
 
 /// Members per group, unless a test asks for more.
@@ -50,6 +55,10 @@
     version: Cell<u64>,
     /// The newest configuration.
     config: RefCell<Value>,
+    /// Client accounts of the next configuration, if it has any.
+    accounts: RefCell<Option<Vec<ClientAccount>>>,
+    /// Number of daemons that endpoints were started for.
+    daemon_count: Cell<u8>,
     /// Well-formed requests that the promotion API handled, oldest first, whether accepted or not.
     /// Requests that an outage blocked are missing.
     pub promotions: RefCell<Vec<PromotionRequest>>,
@@ -78,6 +87,8 @@
             groups,
             version: Cell::new(0),
             config: RefCell::default(),
+            accounts: RefCell::default(),
+            daemon_count: Cell::new(0),
             promotions: RefCell::default(),
         });
         world.configure(0);
@@ -92,7 +103,8 @@
     /// Writes the next version of the configuration, with `extra_routes` unused routes.
     ///
     /// Each version also has a route named after it, `v<version>`, that no other version has, so
-    /// that a client can tell which version a daemon serves.
+    /// that a client can tell which version a daemon serves. With client accounts, that route is
+    /// public, so that the check needs no key.
     pub fn configure(&self, extra_routes: usize) {
         self.version.set(self.version.get() + 1);
         let mut routes = Vec::new();
@@ -110,20 +122,31 @@
                 ));
             }
         }
-        let version = format!("v{}", self.version.get());
         let extra_routes = (0..extra_routes).map(|n| format!("more-{n}"));
-        for database in extra_routes.chain([version]) {
+        for database in extra_routes {
             routes.push(route(&database, &self.groups[0].name, "primary", 0));
         }
+        let version = format!("v{}", self.version.get());
+        let mut version_route = route(&version, &self.groups[0].name, "primary", 0);
         let services: Vec<Value> = self
             .groups
             .iter()
-            .map(|g| json!({"name": &*g.name, "max_conns": member::MAX_CONNS, "sync_replicas": 1}))
+            .map(|g| json!({"name": &*g.name, "max_conns": g.max_conns.get(), "sync_replicas": 1}))
             .collect();
-        let spec = json!({
-            "version": self.version.get(), "routes": routes, "services": services,
-            "limits": {"tx_idle_ms": 3000}
+        let mut spec = json!({
+            "version": self.version.get(), "services": services, "limits": {"tx_idle_ms": 3000}
         });
+        if let Some(accounts) = &*self.accounts.borrow() {
+            spec["tenants"] = accounts.iter().map(ClientAccount::to_json).collect();
+            version_route["public"] = true.into();
+            for group in &self.groups {
+                let mut open = route(&format!("{}-public", group.name), &group.name, "primary", 0);
+                open["public"] = true.into();
+                routes.push(open);
+            }
+        }
+        routes.push(version_route);
+        spec["routes"] = routes.into();
         self.store.put("config", "main", &spec);
         self.config.replace(spec);
     }
@@ -132,6 +155,7 @@
     /// `delay_ms`; records of members that have left are removed then.
     pub async fn restore_store(&self, age_ms: u64, delay_ms: u64) {
         self.store.restore(age_ms);
+        self.store.record_absence(delay_ms);
         sleep_ms(delay_ms).await;
         self.store
             .put("config", "main", &self.config.borrow().clone());
@@ -156,11 +180,22 @@
     /// Starts endpoints of the store and of the promotion API for one daemon and returns their
     /// addresses. Own endpoints per daemon let outages be injected per daemon.
     ///
+    /// The store also gives each daemon addresses of the members of its own, on another loopback
+    /// address: a connection opened in the name of a client account does not tell its daemon, and
+    /// faults that cut a daemon off need it. A daemon that learns the members from another one gets
+    /// the faults of that one.
+    ///
     /// # Panics
-    /// When no port can be bound.
+    /// When no port can be bound, and for more than 254 daemons.
     pub fn start_endpoints(self: &Rc<Self>, daemon: &str) -> (String, String) {
+        let count = self.daemon_count.get() + 1;
+        self.daemon_count.set(count);
+        let ip = Ipv4Addr::new(127, 0, 1, count);
+        for group in &self.groups {
+            group.listen_for(daemon, ip);
+        }
         (
-            api::serve_store(self.clone(), daemon),
+            api::serve_store(self.clone(), daemon, ip),
             api::serve_promotion_api(self.clone(), daemon),
         )
     }
--- a/crates/world/src/member.rs
+++ b/crates/world/src/member.rs
@@ -8,14 +8,14 @@
 use schema::Pos;
 
 use crate::group::{Entry, Group, Member};
-use crate::sleep_ms;
+use crate::{StatementRun, sleep_ms};
 
 /// Reads and writes that a member runs concurrently.
 pub const SLOTS: u64 = 2;
 /// Reads and writes that may wait for a slot; further ones get BUSY.
 const MAX_QUEUED: u64 = 16;
-/// Connections that a member accepts; further ones get CONNLIMIT.
-pub const MAX_CONNS: u64 = 16;
+/// Connections that a member accepts unless the test sets `Group::max_conns`.
+pub const DEFAULT_MAX_CONNS: u64 = 16;
 /// Run time of a read or write at normal speed.
 const STATEMENT_MS: u64 = 3;
 /// Maximum wait of a commit for its replication; after that it gets TIMEOUT.
@@ -28,7 +28,13 @@
     group: Rc<Group>,
     member: Rc<Member>,
     /// Name of the connected daemon.
-    daemon: String,
+    daemon: Box<str>,
+    /// Name in the `CONNECT`: of the daemon or of a client account.
+    name: Box<str>,
+    /// When the current statement was received.
+    received_at: Ms,
+    /// Whether the open transaction has run a statement.
+    tx_has_run: bool,
     /// Incarnation of the member when the handshake was read; the session ends when it changes.
     incarnation: u64,
     /// Uncommitted (item, data) writes of the open transaction.
@@ -43,8 +49,14 @@
     prepared: std::collections::HashMap<String, (bool, String)>,
 }
 
-/// Accepts connections as long as the test runs; a member that is down closes them at once.
-pub async fn accept(group: Rc<Group>, member: Rc<Member>, listener: TcpListener) {
+/// Accepts connections as long as the test runs; a member that is down closes them at once. They
+/// are those of `daemon`, or of the daemon that their `CONNECT` names.
+pub async fn accept(
+    group: Rc<Group>,
+    member: Rc<Member>,
+    listener: TcpListener,
+    daemon: Option<Box<str>>,
+) {
     while let Ok((stream, _)) = listener.accept().await {
         if !member.up.get() {
             continue;
@@ -52,10 +64,10 @@
         let Ok(link) = BufferedStream::new(stream) else {
             continue;
         };
-        let (group, member) = (group.clone(), member.clone());
+        let (group, member, daemon) = (group.clone(), member.clone(), daemon.clone());
         monoio::spawn(async move {
             member.conns.set(member.conns.get() + 1);
-            serve_session(group, member.clone(), link).await;
+            serve_session(group, member.clone(), link, daemon).await;
             member.conns.set(member.conns.get() - 1);
         });
     }
@@ -77,17 +89,25 @@
 }
 
 /// Handles the handshake and the statements of one connection until it ends.
-async fn serve_session(group: Rc<Group>, member: Rc<Member>, mut link: BufferedStream) {
+async fn serve_session(
+    group: Rc<Group>,
+    member: Rc<Member>,
+    mut link: BufferedStream,
+    daemon: Option<Box<str>>,
+) {
     let Some(hello) = read_line(&mut link).await else {
         return;
     };
     let fields: Vec<&str> = hello.split(' ').collect();
-    let [_, group_name, daemon, rest @ ..] = &fields[..] else {
+    let [_, group_name, name, rest @ ..] = &fields[..] else {
         return;
     };
     let mut session = Session {
         incarnation: member.incarnation.get(),
-        daemon: (*daemon).to_owned(),
+        daemon: daemon.unwrap_or_else(|| (*name).into()),
+        name: (*name).into(),
+        received_at: Ms::now(),
+        tx_has_run: false,
         group,
         member,
         tx: None,
@@ -105,21 +125,34 @@
         let _ = link.send(text.as_bytes()).await;
         return;
     }
-    if session.member.conns.get() > MAX_CONNS {
+    if session.member.conns.get() > session.group.max_conns.get() {
+        let refused = &session.member.refused_conns;
+        refused.set(refused.get() + 1);
         let _ = link.send(b"ERROR CONNLIMIT too many\r\n").await;
         return;
     }
-    if !session.wait_until_reachable(true).await || link.send(b"READY I -\r\n").await.is_err() {
-        return;
+    let member = session.member.clone();
+    member.conn_names.borrow_mut().push(session.name.clone());
+    let accepted = member.accepted_conns.get() + 1;
+    member.accepted_conns.set(accepted);
+    member.peak_conns.set(member.peak_conns.get().max(accepted));
+    if session.wait_until_reachable(true).await && link.send(b"READY I -\r\n").await.is_ok() {
+        serve_statements(&mut session, &mut link).await;
     }
+    member.accepted_conns.set(member.accepted_conns.get() - 1);
+}
+
+/// Handles the statements of one connection until it ends.
+async fn serve_statements(session: &mut Session, link: &mut BufferedStream) {
     loop {
         let incarnation = session.incarnation;
         let member = session.member.clone();
         let next = monoio::select! {
-            next = read_line(&mut link) => next,
+            next = read_line(link) => next,
             () = wait_for_crash(&member, incarnation) => None,
         };
         let Some(text) = next else { return };
+        session.received_at = Ms::now();
         if !session.wait_until_reachable(true).await {
             return;
         }
@@ -158,7 +191,7 @@
                 .member
                 .blocked_daemons
                 .borrow()
-                .get(&*self.daemon)
+                .get(&self.daemon)
                 .copied();
             let held = match block {
                 Some(answers_only) => !(inbound && answers_only),
@@ -294,18 +327,32 @@
             return self.error_reply("LAGGING");
         }
         self.tx = Some(Vec::new());
+        self.tx_has_run = false;
         self.read_only = read_only;
         self.complete_reply()
     }
 
+    /// Records that the current statement runs.
+    fn record_run(&mut self, id: &str) {
+        let begins_operation = self.tx.is_none() || !self.tx_has_run;
+        self.tx_has_run = true;
+        self.member.runs.borrow_mut().push(StatementRun {
+            received_at: self.received_at,
+            conn_name: self.name.clone(),
+            id: id.into(),
+            begins_operation,
+        });
+    }
+
     /// Waits for a slot and occupies it for the run time of a statement.
     ///
     /// `Some(false)` when the wait queue is full, `None` when the member has crashed.
-    async fn simulate_work(&self) -> Option<bool> {
-        let m = &self.member;
-        if m.admitted.get() >= SLOTS + MAX_QUEUED {
+    async fn simulate_work(&mut self, id: &str) -> Option<bool> {
+        if self.member.admitted.get() >= SLOTS + MAX_QUEUED {
             return Some(false);
         }
+        self.record_run(id);
+        let m = &self.member;
         m.admitted.set(m.admitted.get() + 1);
         while m.busy_slots.get() >= SLOTS {
             let seen = m.slot_freed.generation();
@@ -327,7 +374,7 @@
         if after.is_some_and(|pos| self.member.applied_pos() < pos) {
             return Some(self.error_reply("LAGGING"));
         }
-        if !self.simulate_work().await? {
+        if !self.simulate_work(id).await? {
             return Some(self.error_reply("BUSY"));
         }
         let log = self.member.log.borrow();
@@ -351,7 +398,7 @@
         if !self.member.is_primary.get() || self.read_only && self.tx.is_some() {
             return Some(self.error_reply("READONLY"));
         }
-        if !self.simulate_work().await? {
+        if !self.simulate_work(id).await? {
             return Some(self.error_reply("BUSY"));
         }
         let write = (Box::from(item), Box::from(data));
@@ -368,6 +415,7 @@
 
     async fn commit(&mut self, id: &str) -> Option<String> {
         self.group.received_ids.borrow_mut().insert(id.into());
+        self.record_run(id);
         let writes = self.tx.take().unwrap_or_default();
         if !writes.is_empty() {
             if !self.member.is_primary.get() {
--- a/crates/world/src/store.rs
+++ b/crates/world/src/store.rs
@@ -62,6 +62,8 @@
     pub changed: Signal,
     /// Outage and its end by daemon; the empty name applies to all daemons.
     outages: RefCell<HashMap<Box<str>, (Outage, Ms)>>,
+    /// Begin and end of each time in which a daemon could not read the newest objects.
+    absences: RefCell<Vec<(Ms, Ms)>>,
 }
 
 /// Reason why a conditional write was refused.
@@ -76,11 +78,26 @@
     /// Starts an outage of `ms` milliseconds for a daemon, or for all with an empty name.
     pub fn inject_outage(&self, daemon: &str, outage: Outage, ms: u64) {
         let until = Ms::now().plus(ms);
+        if !matches!(outage, Outage::AnswerLost | Outage::Slow(_)) {
+            self.record_absence(ms);
+        }
         self.outages
             .borrow_mut()
             .insert(daemon.into(), (outage, until));
     }
 
+    /// Records that some daemon cannot read the newest objects for the next `ms` milliseconds.
+    pub(crate) fn record_absence(&self, ms: u64) {
+        let now = Ms::now();
+        self.absences.borrow_mut().push((now, now.plus(ms)));
+    }
+
+    /// Whether some daemon could not read the newest objects at an instant from `from` to `to`.
+    pub fn was_absent(&self, from: Ms, to: Ms) -> bool {
+        let absences = self.absences.borrow();
+        absences.iter().any(|a| a.0 <= to && from <= a.1)
+    }
+
     /// Current outage for a daemon; one of its own precedes one for all daemons.
     pub fn outage(&self, daemon: &str) -> Option<Outage> {
         let outages = self.outages.borrow();
