--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -62,7 +62,8 @@
 ///
 /// # Errors
 /// Returns the connection when the session is to be served or refused here: this daemon is an
-/// owner, the database is unknown, the caller is denied, or no owner accepted in time.
+/// owner and none that ranks before it for the account accepts, the database is unknown, the caller
+/// is denied, or no owner accepted in time.
 async fn try_hand_off(
     proxy: &Rc<Proxy>,
     request: &SessionRequest,
@@ -75,14 +76,17 @@
         let Some((_, group)) = proxy.route(&request.database) else {
             return Err(link);
         };
-        let Some(owners) = proxy.remote_owners(&group) else {
+        let Ok(identity) = request.identify(proxy) else {
             return Err(link);
         };
-        if request.identify(proxy).is_err() {
+        let account = identity.map(|identity| identity.account);
+        let Some(owners) = proxy.remote_owners(&group, account) else {
             return Err(link);
-        }
+        };
         match tunnel::hand_off(proxy, &owners, request, link).await {
             Ok(()) => return Ok(()),
+            // The owners that rank before this one for the account do not accept.
+            Err(returned) if group.is_owner.get() => return Err(returned),
             Err(returned) if deadline.left() == 0 => return Err(returned),
             Err(returned) => link = returned,
         }
