Daemons learn of a newer configuration from every message that names a version

Cause: a configuration was pushed only to daemons that serve handed-off sessions, when it came into force. A daemon without the store that accepts callers, or an owner that refuses for its older configuration, was never pushed one. A daemon that starts took any configuration, also one that a newer one had replaced. Ruled out: the sender of a hand-off asks for the configuration. That needs a second direction of transfer, and the push by name serves quota requests as well. Also ruled out: versions in hand-offs only, because a daemon that hands nothing off and asks for no rate would keep a withdrawn key. Where accounts are in force, each daemon compares versions with a random one every 2 s (`version.VERSION.VM`). A push must hold the version that its head names; only one is received at a time and within 10 s; the send timeout counts for 64 KiB, since a large one takes longer than 250 ms at 10 Mbit/s.

--- a/crates/proxy/src/accounts.rs
+++ b/crates/proxy/src/accounts.rs
@@ -1,7 +1,7 @@
 //! Client accounts of the configuration in force.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use schema::Account;
@@ -33,14 +33,15 @@
 }
 
 impl Accounts {
-    /// Replaces the accounts; `None` means that callers need no key.
-    pub fn replace(&self, accounts: Option<&[Account]>) {
+    /// Replaces the accounts; `None` means that callers need no key. Returns the credentials that
+    /// several accounts hold, each with the names of two of them.
+    pub fn replace(&self, accounts: Option<&[Account]>) -> Vec<(Credential, [Rc<str>; 2])> {
         self.in_force.set(accounts.is_some());
         let accounts = accounts.unwrap_or_default();
         let known = accounts.iter().map(|a| (self.key(&a.name), a.clone()));
         self.known.replace(known.collect());
         let mut by_credential = HashMap::new();
-        let mut ambiguous = HashSet::new();
+        let mut ambiguous = HashMap::new();
         for account in accounts {
             let key = self.key(&account.name);
             for credential in account
@@ -49,14 +50,15 @@
                 .filter_map(|c| Credential::from_hex(c))
             {
                 let former = by_credential.insert(credential, key);
-                if former.is_some_and(|former| former != key) {
-                    ambiguous.insert(credential);
+                if let Some(former) = former.filter(|former| *former != key) {
+                    ambiguous.insert(credential, [self.name(former), self.name(key)]);
                 }
             }
         }
         // A key of two accounts could be used in the name of the wrong one.
-        by_credential.retain(|credential, _| !ambiguous.contains(credential));
+        by_credential.retain(|credential, _| !ambiguous.contains_key(credential));
         self.by_credential.replace(by_credential);
+        ambiguous.into_iter().collect()
     }
 
     /// Whether callers need a key, except on public routes.
--- a/crates/proxy/src/config_push.rs
+++ b/crates/proxy/src/config_push.rs
@@ -1,7 +1,8 @@
-//! Pushes the configuration to daemons that serve sessions handed off by this one.
+//! Pushes the configuration to other daemons: to those that serve sessions handed off by this one,
+//! and to those that name an older version in a message.
 //!
-//! Such a daemon may be cut off from the store while this one is not. Callers of this one would
-//! then be served by an older configuration than the one in force here.
+//! Such a daemon may be cut off from the store while this one is not. Its callers would then be
+//! served by an older configuration than the one in force here.
 
 use std::rc::Rc;
 
@@ -18,40 +19,63 @@
 const MAX_ATTEMPTS: usize = 5;
 const RETRY_DELAY_MS: u64 = 300;
 
-/// Pushes a configuration that is coming into force to the daemons that serve sessions handed off
-/// by this one.
-pub(crate) fn push_to_peers(proxy: &Rc<Proxy>, config: &Config) {
-    if proxy.peers.hand_off_targets().is_empty() {
-        return;
+impl Proxy {
+    /// Records the version that another daemon has named in a message, and pushes the configuration
+    /// in force to it if its own is older.
+    pub fn hear_version(self: &Rc<Self>, version: u64, peer: &str) {
+        self.newest_heard.set(self.newest_heard.get().max(version));
+        if version >= self.config_version.get() {
+            return;
+        }
+        let Some(peer) = self.peers.find(peer) else {
+            return;
+        };
+        if !self.push_targets.borrow_mut().insert(peer.addr) {
+            return;
+        }
+        let proxy = self.clone();
+        monoio::spawn(async move {
+            sleep_ms(PUSH_DELAY_MS).await;
+            let addr = peer.addr;
+            push_with_retry(proxy.clone(), peer).await;
+            proxy.push_targets.borrow_mut().remove(&addr);
+        });
     }
-    let version = config.version;
-    let bytes: Rc<[u8]> = match rmp_serde::to_vec(config) {
-        Ok(bytes) => bytes.into(),
+}
+
+/// Stores a configuration that is coming into force for pushes, and pushes it to the daemons that
+/// serve sessions handed off by this one.
+pub(crate) fn set_in_force(proxy: &Rc<Proxy>, config: &Config) {
+    match rmp_serde::to_vec(config) {
+        Ok(bytes) => proxy.config_bytes.replace(bytes.into()),
         Err(e) => {
             emit(
                 Event::ConfigPushFailed,
-                &[("version", &version), ("cause", &e)],
+                &[("version", &config.version), ("cause", &e)],
             );
             return;
         }
     };
+    if proxy.peers.hand_off_targets().is_empty() {
+        return;
+    }
     let proxy = proxy.clone();
     monoio::spawn(async move {
         sleep_ms(PUSH_DELAY_MS).await;
         for peer in proxy.peers.hand_off_targets() {
-            monoio::spawn(push_with_retry(proxy.clone(), peer, version, bytes.clone()));
+            monoio::spawn(push_with_retry(proxy.clone(), peer));
         }
     });
 }
 
-async fn push_with_retry(proxy: Rc<Proxy>, peer: Peer, version: u64, bytes: Rc<[u8]>) {
+/// Pushes the configuration in force, also one that comes into force meanwhile.
+async fn push_with_retry(proxy: Rc<Proxy>, peer: Peer) {
     for _ in 0..MAX_ATTEMPTS {
-        // A newer configuration has its own push.
-        if proxy.config_version.get() > version {
-            return;
-        }
+        let version = proxy.config_version.get();
+        let bytes = proxy.config_bytes.borrow().clone();
         match tunnel::push_config(&peer, version, &bytes).await {
-            Ok(()) => return,
+            Ok(()) if proxy.config_version.get() == version => return,
+            Ok(()) => {}
             Err(e) => emit(
                 Event::ConfigPushFailed,
                 &[("version", &version), ("peer", &peer.name), ("cause", &e)],
@@ -61,12 +85,15 @@
     }
 }
 
-/// Puts a configuration in force that another daemon has pushed.
+/// Puts a configuration in force that another daemon has pushed as `version`.
 ///
 /// # Errors
-/// `WireError::Malformed` when the bytes are no configuration.
-pub(crate) fn receive(proxy: &Rc<Proxy>, bytes: &[u8]) -> Result<(), WireError> {
+/// `WireError::Malformed` when the bytes are no configuration, or one of another version.
+pub(crate) fn receive(proxy: &Rc<Proxy>, version: u64, bytes: &[u8]) -> Result<(), WireError> {
     let config: Config = rmp_serde::from_slice(bytes).map_err(|_| WireError::Malformed)?;
+    if config.version != version {
+        return Err(WireError::Malformed);
+    }
     emit(
         Event::ConfigReceived,
         &[
--- a/crates/proxy/src/configure.rs
+++ b/crates/proxy/src/configure.rs
@@ -8,15 +8,27 @@
 use crate::{Config, Group, GroupRule, Proxy, config_push, failover, health_check};
 
 impl Proxy {
-    /// Puts a configuration in force, unless this version or a newer one already is.
+    /// Puts a configuration in force, unless this version or a newer one already is, or a newer one
+    /// is known to exist.
     pub fn configure(self: &Rc<Self>, config: Config) {
         if config.version <= self.config_version.get() {
             return;
         }
+        if config.version < self.newest_heard.get() {
+            emit(
+                Event::GatewayConfigOlder,
+                &[
+                    ("version", &config.version),
+                    ("newest", &self.newest_heard.get()),
+                ],
+            );
+            return;
+        }
+        self.newest_heard.set(config.version);
         for rule in &config.groups {
             self.add_group(rule);
         }
-        config_push::push_to_peers(self, &config);
+        config_push::set_in_force(self, &config);
         let routes: HashMap<_, _> = config
             .routes
             .into_iter()
@@ -31,7 +43,15 @@
             ],
         );
         let needs_check = self.accounts.in_force() || config.accounts.is_some();
-        self.accounts.replace(config.accounts.as_deref());
+        for (credential, accounts) in self.accounts.replace(config.accounts.as_deref()) {
+            emit(
+                Event::KeyAmbiguous,
+                &[
+                    ("key", &credential.label()),
+                    ("accounts", &accounts.join(",")),
+                ],
+            );
+        }
         self.routes.replace(routes);
         self.update_ownership();
         self.tx_idle_ms.set(config.tx_idle);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -45,6 +45,12 @@
         self.list.borrow().clone()
     }
 
+    /// The daemon on a VM.
+    pub fn find(&self, name: &str) -> Option<Peer> {
+        let peers = self.list.borrow();
+        peers.iter().find(|p| *p.name == *name).cloned()
+    }
+
     /// Listed daemons that serve sessions handed off by this one, or are being offered one.
     pub fn hand_off_targets(&self) -> Vec<Peer> {
         let handed_off = self.handed_off.borrow();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of one daemon.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -21,6 +21,15 @@
     pub failover_api: FailoverApi,
     /// Version of the configuration in force; never decreases.
     pub config_version: Cell<u64>,
+    /// Newest version that the store or another daemon has named. No older configuration comes into
+    /// force, so that a daemon that starts does not bring back what a newer one has withdrawn.
+    pub newest_heard: Cell<u64>,
+    /// The configuration in force, as it is sent to other daemons; empty before the first one.
+    pub(crate) config_bytes: RefCell<Rc<[u8]>>,
+    /// Daemons to which the configuration is being pushed because they have named an older version.
+    pub(crate) push_targets: RefCell<HashSet<SocketAddr>>,
+    /// Whether another daemon is sending a configuration.
+    pub(crate) is_receiving_config: Cell<bool>,
     /// Routes by database.
     pub routes: RefCell<HashMap<Box<str>, Rc<Route>>>,
     /// Groups by name.
@@ -56,6 +65,10 @@
             codec,
             failover_api,
             config_version: Cell::new(0),
+            newest_heard: Cell::new(0),
+            config_bytes: RefCell::new(Rc::default()),
+            push_targets: RefCell::default(),
+            is_receiving_config: Cell::new(false),
             routes: RefCell::default(),
             groups: RefCell::default(),
             accounts: Accounts::default(),
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -10,8 +10,10 @@
 use monoio::net::TcpStream;
 use quick_error::quick_error;
 
+use super::head::{encode_request, header};
 use super::{
-    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, STOP_PREFIX, with_peer_timeout,
+    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, STOP_PREFIX, VERSION_HEADER,
+    with_peer_timeout,
 };
 use crate::Peer;
 
@@ -20,6 +22,9 @@
 /// Delay between two attempts to announce the stop.
 const STOP_RETRY_DELAY_MS: u64 = 250;
 
+/// Bytes of a configuration that are sent with one timeout. The slowest links take 50 ms for them.
+const CONFIG_PART_BYTES: usize = 64 << 10;
+
 /// Opens a tunnel to a member through the first daemon that can reach it.
 ///
 /// # Errors
@@ -40,8 +45,9 @@
     #[derive(Debug)]
     pub enum PeerError {
         Io(e: io::Error) { from() display("{e}") }
-        /// The daemon answered that it does not serve this target.
-        Refused { display("refused by the daemon") }
+        /// The daemon answered that it does not serve this target; holds the version of its
+        /// configuration, if the answer names one.
+        Refused(version: Option<u64>) { display("refused by the daemon") }
     }
 }
 
@@ -49,7 +55,9 @@
     fn from(e: PeerError) -> io::Error {
         match e {
             PeerError::Io(e) => e,
-            PeerError::Refused => io::Error::new(io::ErrorKind::ConnectionRefused, e.to_string()),
+            PeerError::Refused(_) => {
+                io::Error::new(io::ErrorKind::ConnectionRefused, e.to_string())
+            }
         }
     }
 }
@@ -64,12 +72,15 @@
     peer: SocketAddr,
     target: &str,
 ) -> Result<BufferedStream, PeerError> {
-    let head = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
-    send_head(peer, &head).await
+    Ok(send_head(peer, &encode_request(target)).await?.0)
 }
 
-/// As `connect_to_peer`, with a complete request head.
-pub(super) async fn send_head(peer: SocketAddr, head: &str) -> Result<BufferedStream, PeerError> {
+/// As `connect_to_peer`, with a complete request head; also returns the version of the daemon's
+/// configuration, if its response names one.
+pub(super) async fn send_head(
+    peer: SocketAddr,
+    head: &str,
+) -> Result<(BufferedStream, Option<u64>), PeerError> {
     let timeout = Duration::from_millis(PEER_IO_TIMEOUT_MS);
     let result = monoio::time::timeout(timeout, exchange_heads(peer, head)).await;
     result.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
@@ -77,7 +88,10 @@
 
 /// Sends a request head and reads that of the response. What follows it is left in the input: an
 /// owner answers a handed-off session without further bytes.
-async fn exchange_heads(peer: SocketAddr, head: &str) -> Result<BufferedStream, PeerError> {
+async fn exchange_heads(
+    peer: SocketAddr,
+    head: &str,
+) -> Result<(BufferedStream, Option<u64>), PeerError> {
     let mut link = BufferedStream::new(TcpStream::connect_addr(peer).await?)?;
     link.send(head.as_bytes()).await?;
     let response = loop {
@@ -88,10 +102,12 @@
             return Err(io::Error::from(io::ErrorKind::InvalidData).into());
         }
     };
-    if !response.starts_with(b"HTTP/1.1 200") {
-        return Err(PeerError::Refused);
+    let response = String::from_utf8_lossy(&response);
+    let version = header(&response, VERSION_HEADER).and_then(|v| v.parse().ok());
+    if !response.starts_with("HTTP/1.1 200") {
+        return Err(PeerError::Refused(version));
     }
-    Ok(link)
+    Ok((link, version))
 }
 
 /// Removes the head of a response from the input; `None` until it is complete.
@@ -103,19 +119,23 @@
 /// Pushes a configuration to a daemon, which accepts it only if its own is older.
 ///
 /// # Errors
-/// Connection errors and timeouts; a refusal is no error.
+/// Connection errors and timeouts. A refusal is one only by a daemon whose configuration is older,
+/// as while it receives another push.
 pub(crate) async fn push_config(peer: &Peer, version: u64, bytes: &[u8]) -> io::Result<()> {
     let target = format!("{CONFIG_PREFIX}{version}");
     let mut link = match connect_to_peer(peer.addr, &target).await {
         Ok(link) => link,
-        Err(PeerError::Refused) => return Ok(()),
+        Err(PeerError::Refused(Some(theirs))) if theirs < version => {
+            return Err(PeerError::Refused(None).into());
+        }
+        Err(PeerError::Refused(_)) => return Ok(()),
         Err(PeerError::Io(e)) => return Err(e),
     };
-    with_peer_timeout(async {
-        link.send(bytes).await?;
-        link.shut_down().await
-    })
-    .await
+    // The timeout is for each part: a large configuration takes seconds on a slow link.
+    for part in bytes.chunks(CONFIG_PART_BYTES) {
+        with_peer_timeout(link.send(part)).await?;
+    }
+    with_peer_timeout(link.shut_down()).await
 }
 
 /// Requests daemons, each in a background task, to end the sessions that this VM handed off to
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -1,12 +1,13 @@
 //! Hands sessions off to other daemons.
 
 use std::io;
+use std::rc::Rc;
 
 use base::sleep_ms;
 use bytes::BytesMut;
 use link::BufferedStream;
 
-use super::connect::send_head;
+use super::connect::{PeerError, send_head};
 use super::exchange::Exchange;
 use super::head::encode_hand_off;
 use crate::closing::{close_after_reply, read_arrived};
@@ -22,7 +23,7 @@
 /// # Errors
 /// Returns the caller's connection when its key is not valid, or no daemon accepts.
 pub async fn hand_off(
-    proxy: &Proxy,
+    proxy: &Rc<Proxy>,
     peers: &[Peer],
     request: &SessionRequest,
     mut caller: BufferedStream,
@@ -40,8 +41,11 @@
         // Counted before the attempt, so that a configuration that comes into force meanwhile is
         // pushed to this peer too.
         proxy.peers.add_handed_off(peer.addr);
-        let owner = send_head(peer.addr, &head).await;
-        if let Ok(mut owner) = owner {
+        let answer = send_head(peer.addr, &head).await;
+        if let Ok((_, Some(version))) | Err(PeerError::Refused(Some(version))) = &answer {
+            proxy.hear_version(*version, &peer.name);
+        }
+        if let Ok((mut owner, _)) = answer {
             let mut forwarder = Forwarder {
                 proxy,
                 database: &request.database,
--- a/crates/proxy/src/tunnel/head.rs
+++ b/crates/proxy/src/tunnel/head.rs
@@ -9,6 +9,11 @@
 const CREDENTIAL_HEADER: &str = "credential";
 const ACCOUNT_HEADER: &str = "account";
 
+/// Encodes the head of a request without headers of its own.
+pub fn encode_request(target: &str) -> String {
+    format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n")
+}
+
 /// Encodes the head of a hand-off by a daemon with this version of the configuration.
 pub fn encode_hand_off(version: u64, request: &SessionRequest) -> String {
     let origin = escape(request.origin.as_deref().unwrap_or_default());
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -6,8 +6,13 @@
 //!   it has sent one) and `account` (the one that the sender has found, if any). The messages that
 //!   follow the first one pass on the connection.
 //! - `config.VERSION`: the push of a configuration.
+//! - `version.VERSION.VM`: the version of the configuration in force on a VM; no bytes follow the
+//!   response.
 //! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
 //!
+//! The responses to a hand-off, a push and a version name the version of the configuration in force in the
+//! header `version`. Of two daemons, the one with the newer configuration pushes it to the other.
+//!
 //! A daemon whose own network path to a member is cut reaches it through a tunnel over another
 //! daemon. Leases, fences and statements work as on a direct connection: the age of a probe result
 //! or position sample is counted from the sending of its request, so the delay of the tunnel cannot
@@ -18,6 +23,7 @@
 mod hand_off;
 mod head;
 mod server;
+mod version;
 
 use std::io;
 use std::time::Duration;
@@ -33,7 +39,7 @@
 pub use server::serve;
 
 /// Timeout for opening a connection to a daemon, including the response to `CONNECT`, or to the
-/// member behind a tunnel; also for sending a configuration and for each read of one.
+/// member behind a tunnel; also for sending a part of a configuration and for each read of one.
 const PEER_IO_TIMEOUT_MS: u64 = 250;
 /// Longest HTTP head of a request or response.
 const MAX_HEAD_BYTES: usize = 8192;
@@ -47,10 +53,12 @@
 /// Prefix of the target for a config push; the version follows. After the daemon has accepted it,
 /// the sender transmits the encoded configuration.
 const CONFIG_PREFIX: &str = "config.";
+/// Prefix of the target by which a VM tells the version of its configuration; `VERSION.VM` follows.
+const VERSION_PREFIX: &str = "version.";
 /// Prefix of the target by which a VM announces that it stops; its name follows.
 const STOP_PREFIX: &str = "stop.";
-/// Response to an accepted request.
-const RESPONSE_OK: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
+/// Header of a response with the version of the configuration in force.
+const VERSION_HEADER: &str = "version";
 
 async fn with_peer_timeout<T>(operation: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let result = monoio::time::timeout(Duration::from_millis(PEER_IO_TIMEOUT_MS), operation).await;
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -10,19 +10,26 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::{
-    CONFIG_PREFIX, RESPONSE_OK, SESSION_PREFIX, STOP_PREFIX, head, read_head, with_peer_timeout,
+    CONFIG_PREFIX, SESSION_PREFIX, STOP_PREFIX, VERSION_HEADER, VERSION_PREFIX, head, read_head,
+    version, with_peer_timeout,
 };
 use crate::{Proxy, config_push, handshake};
 
 /// Longest encoded configuration.
 const MAX_CONFIG_BYTES: usize = 8 << 20;
-/// Response to a refused request.
-const RESPONSE_REFUSED: &[u8] = b"HTTP/1.1 502 Bad Gateway\r\n\r\n";
+/// Longest time for receiving a configuration; `MAX_CONFIG_BYTES` take 7 s at 10 Mbit/s. Pushes of
+/// other daemons are refused meanwhile.
+const CONFIG_TIMEOUT_MS: u64 = 10_000;
+/// Status lines of responses to accepted and to refused requests.
+const STATUS_OK: &str = "HTTP/1.1 200 OK\r\n";
+const STATUS_REFUSED: &str = "HTTP/1.1 502 Bad Gateway\r\n";
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY_MS: u64 = 20;
 
-/// Accepts connections from other daemons until the process ends.
+/// Accepts connections from other daemons, and compares the configuration with theirs, until the
+/// process ends.
 pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener) {
+    monoio::spawn(version::compare_periodically(proxy.clone()));
     loop {
         if let Ok((stream, _)) = listener.accept().await {
             monoio::spawn(serve_conn(proxy.clone(), stream));
@@ -49,72 +56,115 @@
     let target = head::target(head).unwrap_or_default();
     if let Some(vm) = target.strip_prefix(STOP_PREFIX) {
         proxy.drain_sessions_from(vm);
-        return write_response(&mut stream, RESPONSE_OK).await;
+        return write_response(&mut stream, STATUS_OK).await;
     }
     if let Some(version) = target.strip_prefix(CONFIG_PREFIX) {
         return receive_config(proxy, stream, version).await;
     }
+    if let Some(version_and_vm) = target.strip_prefix(VERSION_PREFIX) {
+        return receive_version(proxy, stream, version_and_vm).await;
+    }
     if target.starts_with(SESSION_PREFIX) {
         return receive_session(proxy, stream, head).await;
     }
     tunnel_to_member(proxy, stream, target).await
 }
 
+/// Takes note of the version that another daemon tells, and tells its own.
+async fn receive_version(
+    proxy: &Rc<Proxy>,
+    mut stream: TcpStream,
+    version_and_vm: &str,
+) -> io::Result<()> {
+    let (version, vm) = version_and_vm.split_once('.').unwrap_or_default();
+    let Ok(version) = version.parse() else {
+        write_response(&mut stream, STATUS_REFUSED).await?;
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    proxy.hear_version(version, vm);
+    write_versioned_response(proxy, &mut stream, STATUS_OK).await
+}
+
 /// Serves a session that another daemon hands off.
 async fn receive_session(proxy: &Rc<Proxy>, mut stream: TcpStream, head: &str) -> io::Result<()> {
     let Some((version, request)) = head::decode_hand_off(head) else {
-        write_response(&mut stream, RESPONSE_REFUSED).await?;
+        write_response(&mut stream, STATUS_REFUSED).await?;
         return Err(io::ErrorKind::InvalidData.into());
     };
+    proxy.hear_version(version, request.origin.as_deref().unwrap_or_default());
     // Refused while the sender's configuration is newer: the session would be served by an older
     // one than is in force at the sender.
     if version > proxy.config_version.get() {
-        return write_response(&mut stream, RESPONSE_REFUSED).await;
+        return write_versioned_response(proxy, &mut stream, STATUS_REFUSED).await;
     }
-    write_response(&mut stream, RESPONSE_OK).await?;
+    write_versioned_response(proxy, &mut stream, STATUS_OK).await?;
     handshake::serve_handed_off(proxy, BufferedStream::new(stream)?, &request).await;
     Ok(())
 }
 
-/// Accepts a config push that is newer than the configuration in force.
+/// Accepts a config push that is newer than the configuration in force, and not older than the
+/// newest version heard of.
+///
+/// Only one is accepted at a time: after a start, many daemons may push the same large one at once.
 async fn receive_config(proxy: &Rc<Proxy>, mut stream: TcpStream, version: &str) -> io::Result<()> {
-    let newer = version
-        .parse()
-        .is_ok_and(|v: u64| v > proxy.config_version.get());
-    if !newer {
-        return write_response(&mut stream, RESPONSE_REFUSED).await;
-    }
-    write_response(&mut stream, RESPONSE_OK).await?;
+    let in_force = proxy.config_version.get();
+    let heard = proxy.newest_heard.get();
+    let version = version.parse().ok();
+    let version = version.filter(|v: &u64| *v > in_force && *v >= heard);
+    let Some(version) = version.filter(|_| !proxy.is_receiving_config.get()) else {
+        return write_versioned_response(proxy, &mut stream, STATUS_REFUSED).await;
+    };
+    proxy.is_receiving_config.set(true);
+    let wait = Duration::from_millis(CONFIG_TIMEOUT_MS);
+    let received = monoio::time::timeout(wait, read_config(proxy, stream)).await;
+    proxy.is_receiving_config.set(false);
+    let received = received.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    config_push::receive(proxy, version, &received?.input).map_err(io::Error::other)
+}
+
+/// Accepts a config push and reads to the end of the stream.
+async fn read_config(proxy: &Proxy, mut stream: TcpStream) -> io::Result<BufferedStream> {
+    write_versioned_response(proxy, &mut stream, STATUS_OK).await?;
     let mut link = BufferedStream::new(stream)?;
     while with_peer_timeout(link.read_more()).await? > 0 {
         if link.input.len() > MAX_CONFIG_BYTES {
             return Err(io::ErrorKind::InvalidData.into());
         }
     }
-    config_push::receive(proxy, &link.input).map_err(io::Error::other)
+    Ok(link)
 }
 
-async fn write_response(stream: &mut TcpStream, head: &'static [u8]) -> io::Result<()> {
-    let (result, _) = stream.write_all(head).await;
+async fn write_response(stream: &mut TcpStream, status: &str) -> io::Result<()> {
+    let (result, _) = stream.write_all(format!("{status}\r\n").into_bytes()).await;
     result.map(|_| ())
 }
 
+/// Writes a response that names the version of the configuration in force.
+async fn write_versioned_response(
+    proxy: &Proxy,
+    stream: &mut TcpStream,
+    status: &str,
+) -> io::Result<()> {
+    let version = proxy.config_version.get();
+    write_response(stream, &format!("{status}{VERSION_HEADER}: {version}\r\n")).await
+}
+
 /// Forwards a connection to a member if `Proxy::may_tunnel_to` allows its address.
 async fn tunnel_to_member(proxy: &Proxy, mut stream: TcpStream, target: &str) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let target = target.parse().ok();
     let Some(target) = target.filter(|addr| proxy.may_tunnel_to(*addr)) else {
-        return write_response(&mut stream, RESPONSE_REFUSED).await;
+        return write_response(&mut stream, STATUS_REFUSED).await;
     };
     let member = match with_peer_timeout(TcpStream::connect_addr(target)).await {
         Ok(member) => member,
         Err(e) => {
-            write_response(&mut stream, RESPONSE_REFUSED).await?;
+            write_response(&mut stream, STATUS_REFUSED).await?;
             return Err(e);
         }
     };
     member.set_nodelay(true)?;
-    write_response(&mut stream, RESPONSE_OK).await?;
+    write_response(&mut stream, STATUS_OK).await?;
     let (mut from_peer, mut to_peer) = stream.into_split();
     let (mut from_member, mut to_member) = member.into_split();
     // When one side closes, both connections are closed.
--- /dev/null
+++ b/crates/proxy/src/tunnel/version.rs
@@ -0,0 +1,39 @@
+//! Compares the configuration with those of other daemons.
+
+use std::rc::Rc;
+
+use base::sleep_ms;
+
+use super::VERSION_PREFIX;
+use super::connect::{PeerError, send_head};
+use super::head::encode_request;
+use crate::{Peer, Proxy};
+
+/// Interval between two comparisons, in ms. A daemon that is cut off from the store, hands no
+/// session off and asks for no rate must learn of a withdrawn key within 5,000 ms.
+const INTERVAL_MS: u64 = 2000;
+
+/// Compares versions with a random daemon at intervals, until the process ends. Of the two, the one
+/// with the newer configuration pushes it to the other. Without client accounts, nothing is sent.
+pub(super) async fn compare_periodically(proxy: Rc<Proxy>) {
+    loop {
+        sleep_ms(INTERVAL_MS).await;
+        if !proxy.accounts.in_force() {
+            continue;
+        }
+        if let Some(peer) = fastrand::choice(proxy.peers.all()) {
+            compare(&proxy, &peer).await;
+        }
+    }
+}
+
+async fn compare(proxy: &Rc<Proxy>, peer: &Peer) {
+    let version = proxy.config_version.get();
+    let target = format!("{VERSION_PREFIX}{version}.{}", proxy.settings.name);
+    // A failure needs no action: the next comparison is with another daemon.
+    if let Ok((_, Some(theirs))) | Err(PeerError::Refused(Some(theirs))) =
+        send_head(peer.addr, &encode_request(&target)).await
+    {
+        proxy.hear_version(theirs, &peer.name);
+    }
+}
