--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -152,9 +152,12 @@
 
 /// Logs the refusal of a session, sends the error reply and closes the connection.
 async fn refuse(proxy: &Proxy, link: &mut BufferedStream, kind: ErrorKind, text: &str) {
+    // A caller that leaves its database out sends its key in that place.
+    let may_be_key = kind == ErrorKind::NoDatabase && proxy.accounts.in_force();
+    let cause = if may_be_key { "no such database" } else { text };
     emit(
         Event::SessionRefused,
-        &[("kind", &format!("{kind:?}")), ("cause", &text)],
+        &[("kind", &format!("{kind:?}")), ("cause", &cause)],
     );
     let mut out = BytesMut::new();
     (proxy.codec.reply)(&Reply::refusal(kind, text), &mut out);
