--- a/crates/proxy/src/conn_budget.rs
+++ b/crates/proxy/src/conn_budget.rs
@@ -36,6 +36,8 @@
     pub limit: u64,
     /// Connections that the member has, as last reported, with this daemon's changes since.
     pub used: u64,
+    /// Connections that this daemon has opened since that report, less those that it has closed.
+    pub growth: u64,
     /// Number of daemons that serve the group.
     pub owners: u64,
     /// Number of statements that the member runs concurrently.
@@ -96,6 +98,13 @@
         self.share().saturating_sub(used)
     }
 
+    /// Whether the member has connections that no share needs now. The other owners are taken to have
+    /// opened as many since the last report as this daemon: after a start, all of them open some.
+    fn has_free(&self) -> bool {
+        let used = self.used + self.growth * (self.owners.max(1) - 1);
+        used + self.reserve() < self.limit
+    }
+
     /// The first step that is possible for a waiting statement of an account. `others_wait` tells
     /// whether statements of other accounts wait.
     pub fn next_step(
@@ -118,7 +127,7 @@
         if others_wait && to_u64(own().count()) >= self.account_limit() {
             return ConnStep::Wait;
         }
-        let has_room = self.room(conns) > 0 || self.used + self.reserve() < self.limit;
+        let has_room = self.room(conns) > 0 || self.has_free();
         if has_room {
             return ConnStep::Open;
         }
--- a/crates/proxy/src/group/account_conns.rs
+++ b/crates/proxy/src/group/account_conns.rs
@@ -15,8 +15,43 @@
 /// Number of owners assumed before the other daemons are known: the highest.
 const MAX_OWNERS: u64 = 8;
 
-/// Openings that earlier waiters of a dispatch wait for, by member and purpose.
-type Claims = BTreeMap<(MemberKey, Purpose), usize>;
+/// What a dispatch that opens connections for waiters has seen so far.
+pub(super) struct Opener {
+    /// What the waiting statements need connections for.
+    wanted: Vec<Purpose>,
+    /// Openings in progress that waiters which went first wait for, by member and purpose.
+    claims: BTreeMap<(MemberKey, Purpose), usize>,
+}
+
+impl Opener {
+    pub(super) fn new(waiters: &[Rc<Waiter>]) -> Opener {
+        let mut wanted: Vec<Purpose> = waiters.iter().map(|w| w.request.purpose).collect();
+        wanted.sort_unstable();
+        wanted.dedup();
+        wanted.retain(|purpose| *purpose != Purpose::Control);
+        Opener {
+            wanted,
+            claims: BTreeMap::new(),
+        }
+    }
+
+    /// Claims an opening in progress that a request can wait for and that no other waits for;
+    /// returns whether there is one.
+    fn claim(&mut self, members: &[Rc<Member>], purpose: Purpose) -> bool {
+        for member in members {
+            let conns = member.conns.borrow();
+            let opening = conns
+                .iter()
+                .filter(|c| c.purpose == purpose && c.state == ConnState::Opening);
+            let claimed = self.claims.entry((member.key, purpose)).or_default();
+            if opening.count() > *claimed {
+                *claimed += 1;
+                return true;
+            }
+        }
+        false
+    }
+}
 
 impl Group {
     /// What the connections for the statements of a session are for.
@@ -37,6 +72,7 @@
         ConnBudget {
             limit: self.rule.borrow().conns,
             used: member.used_conns(),
+            growth: member.conn_growth(),
             owners: owners.as_ref().map_or(MAX_OWNERS, |o| o.count),
             slots: member.record.borrow().slots,
             retry_at: member.retry_at.get(),
@@ -66,35 +102,49 @@
         over_limit
     }
 
-    /// Opens connections for waiters without one, in their order.
-    pub(super) fn open_for_waiters(&self, members: &[Rc<Member>], waiters: &[Rc<Waiter>], now: Ms) {
-        let mut claims = Claims::new();
-        for waiter in waiters {
-            let request = &waiter.request;
-            let Purpose::Statements(account) = request.purpose else {
-                continue;
-            };
-            let is_other = |w: &Rc<Waiter>| {
-                let is_statement = w.request.purpose != Purpose::Control;
-                is_statement && w.request.purpose != request.purpose
-            };
-            let others_wait = waiters.iter().any(is_other);
-            let eligible = members.iter().filter(|m| self.may_run(m, request, now));
-            let mut eligible: Vec<Rc<Member>> = eligible.cloned().collect();
-            eligible.sort_by(|a, b| {
-                cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
-            });
-            let fills_slots = |m: &Rc<Member>| {
-                let conns = m.conns.borrow();
-                self.budget(m).fills_slots(&conns, account)
-            };
-            waiter.waits_for_conn.set(!eligible.iter().any(fills_slots));
-            if self.is_gone(account) || claim_opening(&eligible, request, &mut claims) {
-                continue;
-            }
-            if let Some(member) = self.open_for_account(&eligible, account, others_wait, now) {
-                *claims.entry((member, request.purpose)).or_default() += 1;
-            }
+    /// Whether a statement without an idle connection lacks one of its account, and not just a free
+    /// slot of a member.
+    pub(super) fn lacks_conn(&self, request: &ConnRequest, now: Ms) -> bool {
+        let Purpose::Statements(account) = request.purpose else {
+            return false;
+        };
+        let members = self.members.borrow();
+        let mut eligible = members
+            .iter()
+            .filter(|m| self.may_run(m, request, now))
+            .peekable();
+        let fills_slots = |m: &Rc<Member>| {
+            let conns = m.conns.borrow();
+            self.budget(m).fills_slots(&conns, account)
+        };
+        self.accounts.in_force() && eligible.peek().is_some() && !eligible.any(fills_slots)
+    }
+
+    /// Opens a connection for a waiter to which no idle one could be assigned, unless one is being
+    /// opened that it can wait for.
+    pub(super) fn open_for_waiter(
+        &self,
+        members: &[Rc<Member>],
+        waiter: &Waiter,
+        opener: &mut Opener,
+        now: Ms,
+    ) {
+        let request = &waiter.request;
+        let Purpose::Statements(account) = request.purpose else {
+            return;
+        };
+        let eligible = members.iter().filter(|m| self.may_run(m, request, now));
+        let mut eligible: Vec<Rc<Member>> = eligible.cloned().collect();
+        eligible.sort_by(|a, b| {
+            cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
+        });
+        waiter.waits_for_conn.set(self.lacks_conn(request, now));
+        if self.is_gone(account) || opener.claim(&eligible, request.purpose) {
+            return;
+        }
+        let others_wait = opener.wanted.iter().any(|p| *p != request.purpose);
+        if let Some(member) = self.open_for_account(&eligible, account, others_wait, now) {
+            *opener.claims.entry((member, request.purpose)).or_default() += 1;
         }
     }
 
@@ -242,23 +292,6 @@
     }
 }
 
-/// Whether an opening is in progress that a request can wait for and no earlier one does; it is then
-/// claimed.
-fn claim_opening(members: &[Rc<Member>], request: &ConnRequest, claims: &mut Claims) -> bool {
-    for member in members {
-        let conns = member.conns.borrow();
-        let opening = conns
-            .iter()
-            .filter(|c| c.purpose == request.purpose && c.state == ConnState::Opening);
-        let claimed = claims.entry((member.key, request.purpose)).or_default();
-        if opening.count() > *claimed {
-            *claimed += 1;
-            return true;
-        }
-    }
-    false
-}
-
 /// Closes idle connections to a member.
 fn close(member: &Member, keys: &[ConnKey]) {
     let mut idle = member.idle_conns.borrow_mut();
--- a/crates/proxy/src/group/dispatch.rs
+++ b/crates/proxy/src/group/dispatch.rs
@@ -5,6 +5,7 @@
 
 use base::Ms;
 
+use super::account_conns::Opener;
 use super::queue_stats::Class;
 use super::wait_queue::Waiter;
 use super::{ConnRequest, Group};
@@ -83,14 +84,16 @@
             (is_statement, is_over_limit, w.request.rank.key(now))
         });
         let members = self.members.borrow().clone();
-        let mut left = Vec::new();
+        let mut opener = Opener::new(&order);
+        // In one pass: a statement that goes first may have an idle connection of another account
+        // closed before one that goes later takes it.
         for waiter in order {
-            if waiter.result.borrow().is_none() && !self.assign_idle(&members, &waiter, now) {
-                left.push(waiter);
+            if waiter.result.borrow().is_some() || self.assign_idle(&members, &waiter, now) {
+                continue;
+            }
+            if self.accounts.in_force() {
+                self.open_for_waiter(&members, &waiter, &mut opener, now);
             }
-        }
-        if self.accounts.in_force() {
-            self.open_for_waiters(&members, &left, now);
         }
         self.update_busy(now);
     }
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -155,6 +155,16 @@
         if needs_primary && self.is_primary_unavailable() {
             return Err(Refusal::NoPrimary);
         }
+        // The load of a class says nothing about a statement that lacks a connection of its account.
+        if self.lacks_conn(request, now) {
+            let ahead = self.purposes_ahead(&request.rank, now);
+            let is_out_of_reach = self.is_conn_out_of_reach(request, &ahead, now);
+            return if is_out_of_reach {
+                Err(Refusal::NoConn)
+            } else {
+                Ok(())
+            };
+        }
         let is_admitted = request
             .route
             .filter(|_| request.is_new)
@@ -165,9 +175,6 @@
         if !is_admitted || !self.is_servable(request.requirement, class, &request.rank, now) {
             return Err(Refusal::Full);
         }
-        if self.is_conn_out_of_reach(request, &self.purposes_ahead(&request.rank, now), now) {
-            return Err(Refusal::NoConn);
-        }
         Ok(())
     }
 
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -161,11 +161,17 @@
     /// daemon's changes since.
     pub(crate) fn used_conns(&self) -> u64 {
         let own = self.conns.borrow().len();
-        let opened = own.saturating_sub(self.conns_at_status.get());
         let closed = self.conns_at_status.get().saturating_sub(own);
+        let closed = u64::try_from(closed).unwrap_or(u64::MAX);
         let reported = self.status.get().map_or(0, |s| s.conns);
-        let to_u64 = |n| u64::try_from(n).unwrap_or(u64::MAX);
-        (reported + to_u64(opened)).saturating_sub(to_u64(closed))
+        (reported + self.conn_growth()).saturating_sub(closed)
+    }
+
+    /// Connections opened by this daemon since the last report, less those closed.
+    pub(crate) fn conn_growth(&self) -> u64 {
+        let own = self.conns.borrow().len();
+        let opened = own.saturating_sub(self.conns_at_status.get());
+        u64::try_from(opened).unwrap_or(u64::MAX)
     }
 
     /// Adds a sample to the mean time for which a connection is held.
