Statements of an account that is gone are refused; control commands do not shorten the mean hold

Cause: a statement that waited while its account, or all accounts, went out of force could get no connection any more and was refused at its deadline only. The mean time for which a connection is held counted probes, which take a few ms, and made waits for connections look short. Change: such a statement is refused as `NoConn` at the next check; only connections for statements count for the mean. `Opener` has a file of its own.

--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -161,7 +161,10 @@
     /// Records that the connection was released to the pool.
     pub(crate) fn on_released(&mut self, now: Ms) {
         self.idle_since = now;
-        if let Some(held_ms) = self.slot.held_ms(now) {
+        // Control commands are short, and say nothing about when a statement's connection is free.
+        if self.purpose() != Purpose::Control
+            && let Some(held_ms) = self.slot.held_ms(now)
+        {
             self.member.record_hold(held_ms);
         }
         self.slot.set_state(ConnState::Idle, now);
--- a/crates/proxy/src/group/account_conns.rs
+++ b/crates/proxy/src/group/account_conns.rs
@@ -1,58 +1,18 @@
 //! Connections of client accounts: what `conn_budget` decides on is collected and carried out here.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use base::Ms;
 
+use super::opener::Opener;
 use super::wait_queue::Waiter;
 use super::{ConnRequest, Group};
 use crate::routing::cost;
-use crate::{
-    AccountKey, Conn, ConnBudget, ConnKey, ConnState, ConnStep, Member, MemberKey, Purpose,
-};
+use crate::{AccountKey, Conn, ConnBudget, ConnKey, ConnStep, Member, MemberKey, Purpose};
 
 /// Number of owners assumed before the other daemons are known: the highest.
 const MAX_OWNERS: u64 = 8;
 
-/// What a dispatch that opens connections for waiters has seen so far.
-pub(super) struct Opener {
-    /// What the waiting statements need connections for.
-    wanted: Vec<Purpose>,
-    /// Openings in progress that waiters which went first wait for, by member and purpose.
-    claims: BTreeMap<(MemberKey, Purpose), usize>,
-}
-
-impl Opener {
-    pub(super) fn new(waiters: &[Rc<Waiter>]) -> Opener {
-        let mut wanted: Vec<Purpose> = waiters.iter().map(|w| w.request.purpose).collect();
-        wanted.sort_unstable();
-        wanted.dedup();
-        wanted.retain(|purpose| *purpose != Purpose::Control);
-        Opener {
-            wanted,
-            claims: BTreeMap::new(),
-        }
-    }
-
-    /// Claims an opening in progress that a request can wait for and that no other waits for;
-    /// returns whether there is one.
-    fn claim(&mut self, members: &[Rc<Member>], purpose: Purpose) -> bool {
-        for member in members {
-            let conns = member.conns.borrow();
-            let opening = conns
-                .iter()
-                .filter(|c| c.purpose == purpose && c.state == ConnState::Opening);
-            let claimed = self.claims.entry((member.key, purpose)).or_default();
-            if opening.count() > *claimed {
-                *claimed += 1;
-                return true;
-            }
-        }
-        false
-    }
-}
-
 impl Group {
     /// What the connections for the statements of a session are for.
     pub(crate) fn statement_purpose(&self, account: Option<AccountKey>) -> Purpose {
@@ -142,9 +102,9 @@
         if self.is_gone(account) || opener.claim(&eligible, request.purpose) {
             return;
         }
-        let others_wait = opener.wanted.iter().any(|p| *p != request.purpose);
+        let others_wait = opener.is_other_wanted(request.purpose);
         if let Some(member) = self.open_for_account(&eligible, account, others_wait, now) {
-            *opener.claims.entry((member, request.purpose)).or_default() += 1;
+            opener.add_claim(member, request.purpose);
         }
     }
 
@@ -187,12 +147,12 @@
         let Purpose::Statements(account) = request.purpose else {
             return false;
         };
-        if !self.accounts.in_force() {
-            return false;
-        }
         if self.is_gone(account) {
             return true;
         }
+        if !self.accounts.in_force() {
+            return false;
+        }
         let same = ahead.iter().filter(|p| **p == request.purpose).count();
         let mut others: Vec<Purpose> = ahead.to_vec();
         others.sort_unstable();
@@ -285,9 +245,9 @@
         }
     }
 
-    /// Whether an account is in no configuration any more, so that no connection is opened in its
-    /// name.
-    fn is_gone(&self, account: Option<AccountKey>) -> bool {
+    /// Whether an account is not in the configuration in force, so that no connection is opened in
+    /// its name.
+    pub(super) fn is_gone(&self, account: Option<AccountKey>) -> bool {
         account.is_some_and(|a| !self.accounts.in_force() || !self.accounts.is_known(a))
     }
 }
--- a/crates/proxy/src/group/dispatch.rs
+++ b/crates/proxy/src/group/dispatch.rs
@@ -5,7 +5,7 @@
 
 use base::Ms;
 
-use super::account_conns::Opener;
+use super::opener::Opener;
 use super::queue_stats::Class;
 use super::wait_queue::Waiter;
 use super::{ConnRequest, Group};
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -5,6 +5,7 @@
 mod control_conns;
 mod dispatch;
 mod fence_set;
+mod opener;
 mod queue_stats;
 mod routes;
 mod wait_queue;
--- a/crates/proxy/src/group/wait_queue.rs
+++ b/crates/proxy/src/group/wait_queue.rs
@@ -272,6 +272,11 @@
         if matches!(request.requirement, Requirement::Primary(_)) && unavailable {
             return Some(Refusal::NoPrimary);
         }
+        if let Purpose::Statements(account) = request.purpose
+            && self.is_gone(account)
+        {
+            return Some(Refusal::NoConn);
+        }
         if waiter.waits_for_conn.get() {
             let ahead = self.purposes_ahead(&request.rank, now);
             let is_out_of_reach = self.is_conn_out_of_reach(request, &ahead, now);
