--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -105,6 +105,9 @@
     let safety = long("safety")
         .help("fail on violated guarantees only, not on slow or scarce service")
         .switch();
+    let accounts = long("accounts")
+        .help("give callers client accounts, and change keys and rates")
+        .switch();
     let seed = self::seed();
     let options = construct!(soak::Options {
         seed,
@@ -112,7 +115,8 @@
         seconds,
         daemons,
         kept,
-        safety
+        safety,
+        accounts
     });
     let soak = construct!(Task::Soak(options))
         .to_options()
--- a/xtask/src/soak/client.rs
+++ b/xtask/src/soak/client.rs
@@ -9,6 +9,7 @@
 use monoio::net::TcpStream;
 use world::World;
 
+use super::accounts::{Accounts, Caller};
 use super::fleet::Fleet;
 use super::ledger::{Ledger, WriteOutcome};
 use super::{GROUP_COUNT, sleep_ms};
@@ -19,9 +20,15 @@
 const MAX_STALENESS_MS: u64 = 1500;
 /// Maximum number of daemons in a fleet whose sessions are not handed off.
 const MAX_DAEMONS_WITHOUT_HANDOFF: usize = 12;
+/// Text that begins an error for an account that is over its rate; stands for its code here.
+const OVER_RATE: &str = "BUSY over the account's rate";
+/// Operations of a long session; it lasts beyond the time in which a withdrawn key may be used.
+const LONG_SESSION_OPERATIONS: u64 = 1000;
 /// Codes of errors after which the statement is guaranteed not to have been applied.
-const NOT_APPLIED_CODES: [&str; 6] = [
+const NOT_APPLIED_CODES: [&str; 8] = [
     "BUSY",
+    OVER_RATE,
+    "DENIED",
     "ABORTED",
     "LAGGING",
     "READONLY",
@@ -36,6 +43,11 @@
     world: Rc<World>,
     fleet: Rc<Fleet>,
     ledger: Rc<Ledger>,
+    accounts: Option<Rc<Accounts>>,
+    caller: Caller,
+    /// When the current operation began.
+    operation_at: Ms,
+    in_transaction: bool,
     /// Incremented when the outcome of a write is unknown; the caller then writes to a new item, so
     /// that the late application of that write cannot confuse later checks.
     generation: u64,
@@ -56,6 +68,8 @@
     group: usize,
     /// Index of the daemon.
     daemon: usize,
+    /// Key that it was opened with, if any.
+    key: Option<Box<str>>,
     /// Value of `Daemon::launches` when the session was opened.
     launch: u64,
     /// Last counter of the caller's current item that was acknowledged in this session; 0 if there
@@ -78,6 +92,7 @@
         world: &Rc<World>,
         fleet: &Rc<Fleet>,
         ledger: &Rc<Ledger>,
+        accounts: Option<&Rc<Accounts>>,
     ) -> Client {
         Client {
             world: world.clone(),
@@ -85,6 +100,10 @@
             rng: fastrand::Rng::with_seed(seed * 1000 + number as u64),
             fleet: fleet.clone(),
             ledger: ledger.clone(),
+            accounts: accounts.cloned(),
+            caller: Caller::of_number(number),
+            operation_at: Ms::now(),
+            in_transaction: false,
             generation: 0,
             write_count: 0,
             statement_count: 0,
@@ -99,10 +118,7 @@
     /// Runs sessions until `Ledger::stopping` is set.
     pub async fn run(mut self) {
         while !self.ledger.stopping.get() {
-            let route = *self
-                .rng
-                .choice(&["newest", "own", "aged"])
-                .expect("the list is not empty");
+            let route = self.choose_route();
             let group = self.rng.usize(..GROUP_COUNT);
             if self.rng.u8(..3) == 0 {
                 self.check_version().await;
@@ -111,7 +127,10 @@
                 sleep_ms(100).await;
                 continue;
             };
-            let operations = self.rng.u64(1..40);
+            let mut operations = self.rng.u64(1..40);
+            if self.accounts.is_some() && self.rng.u8(..4) == 0 {
+                operations = LONG_SESSION_OPERATIONS;
+            }
             for _ in 0..operations {
                 if self.ledger.stopping.get() {
                     break;
@@ -124,29 +143,63 @@
         }
     }
 
+    fn choose_route(&mut self) -> &'static str {
+        if self.accounts.is_some() && self.caller == Caller::Public {
+            return "public";
+        }
+        self.rng
+            .choice(&["newest", "own", "aged"])
+            .expect("the list is not empty")
+    }
+
     /// Opens a session for a route of a group at a random daemon.
     async fn connect(&mut self, group: usize, route: &str) -> Option<Session> {
         let daemon = self.rng.usize(..self.fleet.daemons.len());
         let launch = self.fleet.daemons[daemon].launches.get();
+        let key = self.choose_key();
+        let (sent_at, database) = (Ms::now(), format!("g{group}-{route}"));
+        let (link, answer) = self.open(daemon, &database, key.as_deref()).await?;
+        let code = answer.trim_start_matches("ERROR ").split(' ').next();
+        if let Some(accounts) = &self.accounts {
+            accounts.check_handshake(key.as_deref(), sent_at, code, &self.world);
+        }
+        if code != Some("READY") {
+            return None;
+        }
         Some(Session {
-            link: self.open(daemon, &format!("g{group}-{route}")).await?,
+            link,
             group,
             daemon,
+            key,
             launch,
             acked_counter: 0,
         })
     }
 
-    /// Opens a session for a database at a daemon; `None` if that fails or is refused.
-    async fn open(&self, daemon: usize, database: &str) -> Option<BufferedStream> {
+    /// Key for the next session. Without accounts, daemons ignore it.
+    fn choose_key(&mut self) -> Option<Box<str>> {
+        match &self.accounts {
+            Some(accounts) => accounts.choose_key(self.caller, &mut self.rng),
+            None => Some(format!("c{}", self.number).into()),
+        }
+    }
+
+    /// Requests a session for a database at a daemon; `None` without an answer.
+    async fn open(
+        &self,
+        daemon: usize,
+        database: &str,
+        key: Option<&str>,
+    ) -> Option<(BufferedStream, String)> {
         let daemon = &self.fleet.daemons[daemon];
+        let key = key.map_or(String::new(), |key| format!(" {key}"));
         let open = async {
             let stream = TcpStream::connect(&*daemon.listen_addr).await.ok()?;
             let mut link = BufferedStream::new(stream).ok()?;
-            let request = format!("CONNECT {database} c{}\r\n", self.number);
+            let request = format!("CONNECT {database}{key}\r\n");
             link.send(request.as_bytes()).await.ok()?;
             let first = read_line(&mut link).await?;
-            first.starts_with("READY I").then_some(link)
+            Some((link, first))
         };
         let link = monoio::time::timeout(Duration::from_secs(CONNECT_TIMEOUT_S), open).await;
         link.ok()?
@@ -164,8 +217,10 @@
         } else {
             self.rng.u64(1..=newest)
         };
-        let served = self.open(n, &format!("v{version}")).await.is_some();
-        if !served || daemon.launches.get() != launch {
+        let answer = self.open(n, &format!("v{version}"), None).await;
+        if !answer.is_some_and(|(_, line)| line.starts_with("READY I"))
+            || daemon.launches.get() != launch
+        {
             return;
         }
         if version < before {
@@ -210,20 +265,25 @@
             (_, 4) => self.transaction(session).await,
             _ => self.read(session, route).await,
         };
+        self.in_transaction = false;
         match result {
             Ok(()) => {
                 self.ledger.served.set(self.ledger.served.get() + 1);
                 true
             }
             Err(StatementError::Code(code)) => {
-                let counter = if NOT_APPLIED_CODES.contains(&&*code) {
+                let counter = if let Some(accounts) = &self.accounts
+                    && [OVER_RATE, "DENIED"].contains(&&*code)
+                {
+                    &accounts.refused
+                } else if NOT_APPLIED_CODES.contains(&&*code) {
                     &self.ledger.refused
                 } else {
                     &self.ledger.unknown
                 };
                 counter.set(counter.get() + 1);
                 sleep_ms(self.rng.u64(20..200)).await;
-                true
+                code != "DENIED"
             }
             Err(StatementError::NoAnswer) => {
                 self.ledger.unknown.set(self.ledger.unknown.get() + 1);
@@ -243,7 +303,7 @@
         };
         let start = Ms::now();
         let min_counter = match route {
-            "newest" => self.ledger.acked_counter(session.group, &item, start),
+            "newest" | "public" => self.ledger.acked_counter(session.group, &item, start),
             _ if own => session.acked_counter,
             _ => {
                 // Reads of the `own` route accept 1 s more, see `World::configure`.
@@ -325,6 +385,7 @@
     async fn transaction(&mut self, session: &mut Session) -> Result<(), StatementError> {
         self.execute(session, "SET mode fast").await?;
         self.execute(session, "BEGIN").await?;
+        self.in_transaction = true;
         self.write_count += 1;
         let (item, count) = (self.own_item(), self.write_count);
         let result = self.run_statements(session, &item, count).await;
@@ -394,6 +455,12 @@
     ) -> Result<(String, Answer), StatementError> {
         self.statement_count += 1;
         let id = format!("c{}s{}", self.number, self.statement_count);
+        if !self.in_transaction {
+            self.operation_at = Ms::now();
+        }
+        if let Some(accounts) = &self.accounts {
+            accounts.record_sent(&id, session.key.as_deref(), self.operation_at);
+        }
         let request = format!("QUERY {id} {text}\r\n");
         let exchange = exchange(&mut session.link, &request);
         let answer =
@@ -421,6 +488,7 @@
         match word {
             "ROW" => rows.push(rest.to_owned()),
             "COMPLETE" => completion = Ok(rest.to_owned()),
+            "ERROR" if rest.starts_with(OVER_RATE) => completion = Err(OVER_RATE.to_owned()),
             "ERROR" => completion = Err(rest.split(' ').next().unwrap_or("").to_owned()),
             _ => return Some(Answer { rows, completion }),
         }
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -5,6 +5,7 @@
 use base::Ms;
 use world::{Outage, World};
 
+use super::accounts::Accounts;
 use super::fleet::Fleet;
 use super::sleep_ms;
 
@@ -17,18 +18,28 @@
 /// Range of the duration of a fault, except for those of fixed duration and switchovers.
 const FAULT_DURATION_MS: (u64, u64) = (300, 4500);
 
-/// Injects faults for `total_ms`; the last ones may still be active when this returns.
-pub async fn inject(world: &Rc<World>, fleet: &Rc<Fleet>, seed: u64, total_ms: u64) {
-    let mut rng = fastrand::Rng::with_seed(seed);
+/// Injects faults for `total_ms`; the last ones may still be active when this returns. With client
+/// accounts, about one in four changes a key or a rate.
+pub async fn inject(
+    world: &Rc<World>,
+    fleet: &Rc<Fleet>,
+    accounts: Option<&Rc<Accounts>>,
+    rng: &mut fastrand::Rng,
+    total_ms: u64,
+) {
     let deadline = Ms::now().plus(total_ms);
     while deadline.left() > 0 {
         let duration_ms = rng.u64(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1);
-        if rng.u8(..10) < 6 {
-            member_fault(world, fleet, &mut rng, duration_ms);
+        if let Some(accounts) = accounts
+            && rng.u8(..4) == 0
+        {
+            accounts.change(world, rng);
+        } else if rng.u8(..10) < 6 {
+            member_fault(world, fleet, rng, duration_ms);
         } else if rng.bool() {
-            store_fault(world, fleet, &mut rng, duration_ms);
+            store_fault(world, fleet, rng, duration_ms);
         } else {
-            daemon_fault(fleet, &mut rng, duration_ms);
+            daemon_fault(fleet, rng, duration_ms);
         }
         sleep_ms(rng.u64(FAULT_INTERVAL_MS.0..FAULT_INTERVAL_MS.1)).await;
     }
@@ -203,8 +214,8 @@
 
 /// Waits until all faults have ended, and restarts members and daemons that are down.
 pub async fn heal(world: &Rc<World>, fleet: &Rc<Fleet>) {
-    // Longer than every injected fault.
-    sleep_ms(FAULT_DURATION_MS.1 + 500).await;
+    // Longer than every injected fault: a restore of the store takes longest.
+    sleep_ms(FAULT_DURATION_MS.1 + REWRITE_DELAY_MS + 500).await;
     for group in &world.groups {
         for (i, member) in group.members.iter().enumerate() {
             group.restart(i);
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -1,13 +1,13 @@
 //! Outcomes reported to callers, checked against the logs of the members.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use base::Ms;
 use world::{PromotionRequest, World};
 
-/// Violations that the verdict quotes.
-const MAX_SHOWN_VIOLATIONS: usize = 12;
+/// Violations of one kind that the verdict quotes.
+const MAX_SHOWN_VIOLATIONS: usize = 4;
 /// Minimum percentage of served operations among those served or refused in a run.
 const MIN_SERVED_PERCENT: u64 = 20;
 
@@ -41,6 +41,8 @@
     acked_counters: RefCell<HashMap<ItemKey, Vec<(Ms, u64)>>>,
     /// Item of the last acknowledged write, by group.
     last_acked: RefCell<HashMap<usize, String>>,
+    /// Time of the last acknowledged write, by group.
+    last_acked_at: RefCell<HashMap<usize, Ms>>,
     violations: RefCell<Vec<String>>,
     /// Late or scarce service; kept apart because it also depends on the load of the machine.
     poor_service: RefCell<Vec<String>>,
@@ -63,6 +65,7 @@
         self.outcomes.borrow_mut().insert(write, outcome);
         if outcome == WriteOutcome::Acknowledged {
             self.last_acked.borrow_mut().insert(group, item.to_owned());
+            self.last_acked_at.borrow_mut().insert(group, Ms::now());
             let key = (group, item.to_owned());
             let mut acked = self.acked_counters.borrow_mut();
             acked.entry(key).or_default().push((Ms::now(), count));
@@ -75,6 +78,13 @@
         self.last_acked.borrow().get(&group).cloned()
     }
 
+    /// Groups without an acknowledged write since an instant.
+    pub fn groups_without_write(&self, since: Ms) -> Vec<usize> {
+        let acked_at = self.last_acked_at.borrow();
+        let has_write = |g: &usize| acked_at.get(g).is_some_and(|at| *at > since);
+        (0..super::GROUP_COUNT).filter(|g| !has_write(g)).collect()
+    }
+
     /// Highest counter of an item that had been acknowledged by a given time; 0 if there is none.
     pub fn acked_counter(&self, group: usize, item: &str, at: Ms) -> u64 {
         let acked = self.acked_counters.borrow();
@@ -169,15 +179,17 @@
         if violations.is_empty() {
             return Ok(text);
         }
-        let shown: Vec<&str> = violations
-            .iter()
-            .take(MAX_SHOWN_VIOLATIONS)
-            .map(String::as_str)
-            .collect();
-        Err(format!(
-            "{} faults ({text}): {}",
-            violations.len(),
-            shown.join("; ")
-        ))
+        // The kind is the word before the colon.
+        let mut kinds: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for violation in violations.iter() {
+            let kind = violation.split(':').next().unwrap_or("");
+            kinds.entry(kind).or_default().push(violation);
+        }
+        let shown = kinds.values().map(|list| {
+            let quoted = &list[..list.len().min(MAX_SHOWN_VIOLATIONS)];
+            format!("{} x {}", list.len(), quoted.join("; "))
+        });
+        let shown: Vec<String> = shown.collect();
+        Err(format!("faults ({text}): {}", shown.join("; ")))
     }
 }
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! Soak test: runs real daemon processes against stand-ins of the platform, injects random faults
 //! from outside the daemons, and checks their guarantees from what callers and members observed.
 
+mod accounts;
 mod client;
 mod faults;
 mod fleet;
@@ -13,6 +14,7 @@
 use world::World;
 
 use crate::cluster::Spawner;
+use accounts::Accounts;
 use client::Client;
 use fleet::Fleet;
 use ledger::Ledger;
@@ -31,6 +33,8 @@
     pub kept: bool,
     /// Whether only violated guarantees fail the run, and not slow or scarce service.
     pub safety: bool,
+    /// Whether callers have client accounts.
+    pub accounts: bool,
 }
 
 /// Seeds that failed in the past, each with the cause of that failure; all must pass now.
@@ -44,6 +48,10 @@
 const CALLER_COUNT: usize = 24;
 /// Time after the end of `faults::heal` within which service must recover.
 const RECOVERY_TIMEOUT_MS: u64 = 12_000;
+/// Longest series of faults before the faults are healed and liveness is checked.
+const ROUND_MS: u64 = 12_000;
+/// Interval of the checks of what members ran.
+const CHECK_INTERVAL_MS: u64 = 1000;
 /// Time within which all daemons must become ready after their first start.
 const READY_TIMEOUT_MS: u64 = 60_000;
 
@@ -100,19 +108,30 @@
 ) -> Result<String, String> {
     let delay = PROMOTION_DELAYS_MS[usize::try_from(seed % 6).expect("below 6")];
     let world = World::start(GROUP_COUNT, delay);
+    let ledger = Rc::new(Ledger::default());
+    let accounts = options.accounts.then(|| Accounts::start(&world, &ledger));
     let fleet = Fleet::start(&world, spawner, seed, options.daemons)?;
     if let Err(text) = fleet.wait_ready(Ms::now().plus(READY_TIMEOUT_MS)).await {
         fleet.kill_all();
         return Err(text);
     }
-    let ledger = Rc::new(Ledger::default());
     for n in 0..CALLER_COUNT {
-        let client = Client::new(n, seed, &world, &fleet, &ledger);
+        let client = Client::new(n, seed, &world, &fleet, &ledger, accounts.as_ref());
         monoio::spawn(client.run());
     }
+    if let Some(accounts) = accounts.clone() {
+        monoio::spawn(check_accounts(world.clone(), ledger.clone(), accounts));
+    }
     sleep_ms(500).await;
-    faults::inject(&world, &fleet, seed, options.seconds * 1000).await;
-    faults::heal(&world, &fleet).await;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut left_ms = options.seconds * 1000;
+    while left_ms > 0 {
+        let round_ms = left_ms.min(ROUND_MS);
+        left_ms -= round_ms;
+        faults::inject(&world, &fleet, accounts.as_ref(), &mut rng, round_ms).await;
+        faults::heal(&world, &fleet).await;
+        check_liveness(&ledger).await;
+    }
     // Service has recovered once the callers were served four times each on average.
     let served_before = ledger.served.get();
     let deadline = Ms::now().plus(RECOVERY_TIMEOUT_MS);
@@ -125,10 +144,42 @@
     sleep_ms(1500).await;
     fleet.kill_all();
     ledger.check_logs(&world);
+    if let Some(accounts) = &accounts {
+        accounts.check(&world);
+    }
     if !recovered {
         ledger.record_poor_service("service did not recover after the last fault".to_owned());
     }
-    ledger.verdict(options.safety)
+    let verdict = ledger.verdict(options.safety);
+    let Some(accounts) = accounts else {
+        return verdict;
+    };
+    let seen = accounts.summary(&world);
+    verdict
+        .map(|text| format!("{text}; {seen}"))
+        .map_err(|text| format!("{text}; {seen}"))
+}
+
+/// Checks that every group serves a write within `RECOVERY_TIMEOUT_MS` once all faults are healed.
+async fn check_liveness(ledger: &Ledger) {
+    let healed_at = Ms::now();
+    while !ledger.groups_without_write(healed_at).is_empty() {
+        if healed_at.elapsed() > RECOVERY_TIMEOUT_MS {
+            let groups = ledger.groups_without_write(healed_at);
+            let text = format!("STUCK: no write in groups {groups:?} after the faults were healed");
+            ledger.record_violation(text);
+            return;
+        }
+        sleep_ms(50).await;
+    }
+}
+
+/// Checks what members ran as long as callers run.
+async fn check_accounts(world: Rc<World>, ledger: Rc<Ledger>, accounts: Rc<Accounts>) {
+    while !ledger.stopping.get() {
+        sleep_ms(CHECK_INTERVAL_MS).await;
+        accounts.check(&world);
+    }
 }
 
 pub(crate) async fn sleep_ms(ms: u64) {
