--- a/xtask/src/soak/client.rs
+++ b/xtask/src/soak/client.rs
@@ -476,14 +476,17 @@
     }
 }
 
-/// Sends a request and reads its answer up to the closing line; `None` if the connection ends
-/// first.
+/// Sends a request and reads its answer up to the closing line, or up to the end of the connection
+/// after `DENIED`; `None` if the connection ends before.
 async fn exchange(link: &mut BufferedStream, request: &str) -> Option<Answer> {
     link.send(request.as_bytes()).await.ok()?;
     let mut rows = Vec::new();
     let mut completion = Err("MISSING".to_owned());
     loop {
-        let text = read_line(link).await?;
+        let Some(text) = read_line(link).await else {
+            let is_denied = completion.as_ref().is_err_and(|code| code == "DENIED");
+            return is_denied.then_some(Answer { rows, completion });
+        };
         let (word, rest) = text.split_once(' ').unwrap_or((&text, ""));
         match word {
             "ROW" => rows.push(rest.to_owned()),
