Decisions of the rate limits, and the lock of a shard's keeper

Cause: the limit of an account is binding on all daemons together. Ruled out: returning grants that expire without a report to the level; their operations may have run, so that a daemon that is cut off after use would double them. They count as used. Also ruled out: the tolerance for each new keeper; two changes of keeper within one window would exceed the bound, so the lock says whether its holder has been keeper for a window, and otherwise the next one starts at 0.

--- /dev/null
+++ b/crates/proxy/src/quota/keeper.rs
@@ -0,0 +1,75 @@
+//! All accounts of a shard, as its keeper counts them.
+
+use std::collections::HashMap;
+
+use base::Ms;
+use schema::{QuotaGrant, QuotaReport};
+
+use super::{AskerKey, Bucket, GRANT_TTL_MS, Limit, QuotaRules};
+use crate::AccountKey;
+
+/// What a keeper follows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Start {
+    /// The shard has never had a keeper.
+    First,
+    /// An earlier keeper, which began more than a window before its end.
+    Successor,
+    /// An earlier keeper that may itself have begun within the last window.
+    SuccessorInWindow,
+}
+
+/// What a daemon asks for one account.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountDemand<'a> {
+    pub asker: AskerKey,
+    /// Number of the request.
+    pub seq: u64,
+    pub account: AccountKey,
+    pub wanted: u32,
+    pub reports: &'a [QuotaReport],
+}
+
+/// The buckets of a shard.
+#[derive(Debug)]
+pub struct Keeper {
+    rules: QuotaRules,
+    start: Start,
+    gained_at: Ms,
+    buckets: HashMap<AccountKey, Bucket>,
+}
+
+impl Keeper {
+    pub fn new(rules: QuotaRules, start: Start, gained_at: Ms) -> Keeper {
+        Keeper {
+            rules,
+            start,
+            gained_at,
+            buckets: HashMap::new(),
+        }
+    }
+
+    /// Takes in the reports of a demand and decides what is granted; `limit` is that of the
+    /// configuration in force.
+    pub fn answer(&mut self, demand: &AccountDemand, limit: Limit, now: Ms) -> QuotaGrant {
+        let initial = self.rules.initial_level(self.start, limit);
+        let level = initial + limit.refill(now.0.saturating_sub(self.gained_at.0));
+        let bucket = self
+            .buckets
+            .entry(demand.account)
+            .or_insert_with(|| Bucket::new(limit, level, now));
+        bucket.set_limit(limit, now);
+        for report in demand.reports {
+            bucket.report(demand.asker, report, now);
+        }
+        // Grants of the former keeper have expired by then.
+        let begins_at = self.gained_at.plus(GRANT_TTL_MS);
+        if self.start != Start::First && now < begins_at {
+            return QuotaGrant {
+                granted: 0,
+                retry_ms: begins_at.0 - now.0,
+            };
+        }
+        bucket.grant(demand.asker, demand.seq, demand.wanted, now)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/quota/rules.rs
@@ -0,0 +1,50 @@
+//! Deployment settings of the rate limits, and what follows from them.
+
+use super::{Limit, Start};
+
+/// Operations of the slack that are reserved for daemons that reach no keeper: one an account and
+/// window on each, and an account's sessions on a group meet at one daemon.
+const FALLBACK_RESERVE: u32 = 12;
+
+/// How far the limits are binding.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRules {
+    /// Length of the sliding window, in ms.
+    pub window_ms: u64,
+    /// Share by which a window may exceed the limit.
+    pub overage: f64,
+    /// Operations that a window may hold beyond that share.
+    pub slack: f64,
+}
+
+impl QuotaRules {
+    /// Operations that any window may hold.
+    pub fn bound(&self, limit: Limit) -> f64 {
+        self.nominal(limit) * (1.0 + self.overage) + self.slack
+    }
+
+    /// Operations that a window may hold without overage and slack.
+    fn nominal(&self, limit: Limit) -> f64 {
+        limit.refill(self.window_ms) + limit.burst
+    }
+
+    /// Level of a bucket when its keeper begins. What the former keeper has handed out within the
+    /// window is not known, so that a new one may give out the tolerance only, and only one of
+    /// those that begin within a window.
+    pub fn initial_level(&self, start: Start, limit: Limit) -> f64 {
+        let level = match start {
+            Start::First => limit.capacity(),
+            Start::SuccessorInWindow => 0.0,
+            Start::Successor => {
+                let slack = (self.slack - f64::from(FALLBACK_RESERVE)).max(0.0);
+                self.overage * self.nominal(limit) + slack
+            }
+        };
+        level.min(limit.capacity())
+    }
+
+    /// Whether a daemon that reaches no keeper may run one operation of an account in each window.
+    pub fn allows_fallback(&self, groups: usize) -> bool {
+        groups <= FALLBACK_RESERVE as usize && self.slack >= f64::from(FALLBACK_RESERVE)
+    }
+}
