Operations are charged to the rate limit of their account

Cause: limits were read but not enforced. Change: an operation is charged at its first statement that needs a member, gives the charge back when it was not run, and its grant is checked when the statement is sent. One task a shard asks the keeper; a daemon that is asked takes the lock if it is free, or names the holder. A stop releases held locks, and waits for that within the grace period. Sessions without identity and accounts without a limit cause no message and no store call.

--- a/crates/proxy/src/accounts.rs
+++ b/crates/proxy/src/accounts.rs
@@ -77,6 +77,11 @@
         key
     }
 
+    /// The key of a name that this process has known; unlike `key`, it adds none.
+    pub fn find(&self, name: &str) -> Option<AccountKey> {
+        self.keys.borrow().get(name).copied()
+    }
+
     pub fn name(&self, key: AccountKey) -> Rc<str> {
         self.names.borrow()[key.0 as usize].clone()
     }
--- a/crates/proxy/src/config_push.rs
+++ b/crates/proxy/src/config_push.rs
@@ -61,6 +61,12 @@
     }
 }
 
+/// Records the version of the configuration in force at another daemon, as a message of it tells.
+pub(crate) fn on_peer_version(proxy: &Rc<Proxy>, peer: &str, version: u64) {
+    // The push to a daemon with an older version is not part of the rate limits.
+    let _ = (proxy, peer, version);
+}
+
 /// Puts a configuration in force that another daemon has pushed.
 ///
 /// # Errors
--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -7,11 +7,12 @@
 use schema::Pos;
 
 use crate::group::Refusal;
+use crate::quota::Charge;
 use crate::routing::{Requirement, read_requirement};
 use crate::stats::ReadLabels;
 use crate::{
     Command, Conn, ConnError, ErrorKind, Freshness, Group, Identity, Member, PreparedStatement,
-    Rank, Reply, Role, Route, Statement,
+    Proxy, Rank, Reply, Role, Route, Statement,
 };
 
 /// Time for which a member that replied `Busy` is given no reads that any member may serve.
@@ -97,6 +98,8 @@
     pub route: &'a Route,
     /// Whom the session belongs to.
     pub identity: Option<Identity>,
+    /// Charge of the operation; not used inside a transaction after its first statement.
+    pub charge: Charge<'a>,
     /// Newest position in the replies to the session's successful commits and writes outside
     /// transactions.
     pub last_write: Pos,
@@ -113,6 +116,7 @@
 
 impl<'a> StatementContext<'a> {
     pub fn new(
+        proxy: &'a Rc<Proxy>,
         group: &'a Rc<Group>,
         route: &'a Route,
         identity: Option<Identity>,
@@ -123,6 +127,7 @@
             group,
             route,
             identity,
+            charge: Charge::new(proxy),
             last_write,
             deadline: arrival.plus(route.timeout),
             member: RefCell::default(),
@@ -175,6 +180,37 @@
             .min(self.deadline.left())
     }
 
+    /// Charges the operation to the session's account, unless that was done before.
+    ///
+    /// # Errors
+    /// The `Busy` reply when the account is over its rate.
+    pub async fn charge(&self, task: &StatementTask<'_>) -> Result<(), Reply> {
+        let result = self.charge.admit(self.identity, self.deadline).await;
+        result.inspect_err(|_| self.log_over_rate(task))
+    }
+
+    /// Records that the operation is about to be sent to a member.
+    ///
+    /// # Errors
+    /// The `Busy` reply when what it was charged has expired while it waited.
+    pub fn mark_sent(&self, task: &StatementTask<'_>) -> Result<(), Reply> {
+        let result = self.charge.mark_sent();
+        result.inspect_err(|_| self.log_over_rate(task))
+    }
+
+    fn log_over_rate(&self, task: &StatementTask<'_>) {
+        emit(
+            Event::StatementNotRun,
+            &[
+                ("id", &task.statement.id),
+                ("group", &self.group.name),
+                ("kind", &format!("{:?}", ErrorKind::Busy)),
+                ("cause", &"OverRate"),
+                ("waited", &task.arrival.elapsed()),
+            ],
+        );
+    }
+
     /// Acquires a connection to a member that meets the requirement.
     ///
     /// # Errors
@@ -389,6 +425,9 @@
     vars: &crate::statement::SessionVars,
 ) -> Reply {
     let mut attempts = Attempts::default();
+    if let Err(refusal) = cx.charge(task).await {
+        return refusal;
+    }
     loop {
         let requirement = match cx.requirement(task.write, task.arrival) {
             Ok(requirement) => requirement,
@@ -407,6 +446,10 @@
             cx.group.on_conn_lost(&member, &e);
             continue;
         }
+        if let Err(refusal) = cx.mark_sent(task) {
+            cx.group.release(conn);
+            return refusal;
+        }
         let after = cx.named_position(requirement);
         let sent_at = Ms::now();
         if task.write {
@@ -418,6 +461,7 @@
         if task.write {
             remove_pending_write(cx.group, sent_at);
         }
+        cx.charge.record_reply(result.as_ref().ok());
         let decision = match result {
             Ok(reply) => {
                 cx.group.on_reply(&conn.member, sent_at, &reply);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,9 +1,9 @@
 //! Serves callers' sessions from groups of replicated databases.
 //!
 //! The decision modules (`lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
-//! `lag_backoff`, `ownership`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
+//! `lag_backoff`, `ownership`, `throughput`, and those of `quota`) do no I/O: they compute results from the state and the instant that they are given,
 //! and are called by the code that uses sockets. The crate depends on no wire protocol and on no
-//! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
+//! platform API: `Codec`, `FailoverApi` and `QuotaApi` supply both as structs of functions.
 
 mod accounts;
 mod codec;
@@ -29,6 +29,8 @@
 mod ownership;
 mod peers;
 mod queue;
+mod quota;
+mod quota_api;
 mod reply;
 mod routing;
 mod service_time;
@@ -64,6 +66,12 @@
 pub use ownership::{Candidate, owners};
 pub use peers::{Peer, Peers};
 pub use queue::{Rank, is_servable};
+pub use quota::{
+    AccountDemand, Admission, AskerKey, Bucket, BusiestAccounts, GRANT_TTL_MS, Holding,
+    KEEPER_LEASE_MS, Keeper, KeeperLease, Limit, Quota, QuotaRules, RENEWAL_INTERVAL_MS,
+    REQUEST_INTERVAL_MS, ShardKey, Start, Ticket,
+};
+pub use quota_api::{QuotaApi, Renewal, ShardClaim, ShardLock, ShardRecord};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
 pub use routing::cost;
 pub use schema::{Account, Config, Freshness, GroupRule, Route};
@@ -72,5 +80,5 @@
 pub use shedding::{Demand, admitted_parts};
 pub use state::Proxy;
 pub use statement::{PreparedStatement, Request, Statement, Verb};
-pub use stats::{Outcome, ReadLabels, StatementLabels, Stats};
+pub use stats::{AccountLabels, Outcome, ReadLabels, StatementLabels, Stats};
 pub use throughput::{Load, Throughput};
--- /dev/null
+++ b/crates/proxy/src/quota/serving.rs
@@ -0,0 +1,124 @@
+//! Answers the requests of other daemons for grants.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Event, Ms, emit};
+use link::BufferedStream;
+use schema::{QuotaAnswer, QuotaDemand, QuotaGrant, QuotaRequest};
+
+use super::frame::{read_frame, send_frame};
+use super::shard::Kept;
+use super::{AccountDemand, AskerKey, REQUEST_INTERVAL_MS, ShardKey, lock};
+use crate::{Proxy, ShardLock, config_push};
+
+/// Time without a request after which a connection is closed; longer than that after which the other
+/// side closes it.
+const IDLE_TIMEOUT_MS: u64 = 30_000;
+
+/// Answers the requests on a connection until it ends.
+///
+/// # Errors
+/// `InvalidInput` when there is no such shard; malformed and oversized frames, and the errors of the
+/// connection.
+pub(crate) async fn serve(
+    proxy: &Rc<Proxy>,
+    mut link: BufferedStream,
+    shard: &str,
+) -> io::Result<()> {
+    let Some(key) = ShardKey::parse(shard) else {
+        return Err(io::ErrorKind::InvalidInput.into());
+    };
+    let asker = proxy.quota.new_asker();
+    let timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
+    loop {
+        let request = monoio::time::timeout(timeout, read_frame(&mut link)).await;
+        let request: QuotaRequest = match request {
+            Ok(Ok(Some(request))) => request,
+            Ok(Ok(None)) | Err(_) => return Ok(()),
+            Ok(Err(e)) => {
+                emit(Event::QuotaConnFailed, &[("cause", &e)]);
+                return Err(e);
+            }
+        };
+        config_push::on_peer_version(proxy, &request.sender, request.version);
+        let answer = answer(proxy, key, asker, &request).await;
+        send_frame(&mut link, &answer).await?;
+    }
+}
+
+/// Answers a request as the keeper, which this daemon becomes if the shard has none; otherwise names
+/// the keeper.
+async fn answer(
+    proxy: &Rc<Proxy>,
+    key: ShardKey,
+    asker: AskerKey,
+    request: &QuotaRequest,
+) -> QuotaAnswer {
+    let mut keeper = Box::from("");
+    let mut granted = grants(proxy, key, asker, request, Ms::now());
+    if granted.is_none() {
+        match lock::find_keeper(proxy, key, &request.refused).await {
+            ShardLock::Taken { .. } => granted = grants(proxy, key, asker, request, Ms::now()),
+            ShardLock::Held { addr } => keeper = addr,
+            ShardLock::Unavailable => {}
+        }
+    }
+    QuotaAnswer {
+        version: proxy.config_version.get(),
+        seq: request.seq,
+        is_keeper: granted.is_some(),
+        keeper,
+        grants: granted.unwrap_or_default(),
+    }
+}
+
+/// What the keeper grants for a request; `None` if this daemon is not the keeper.
+pub fn grants(
+    proxy: &Proxy,
+    key: ShardKey,
+    asker: AskerKey,
+    request: &QuotaRequest,
+    now: Ms,
+) -> Option<Vec<QuotaGrant>> {
+    let mut kept = proxy.quota.shard(key).kept.borrow_mut();
+    let kept = kept.as_mut().filter(|k| k.lease.is_valid(now))?;
+    kept.lease.record_request(asker != AskerKey::OWN, now);
+    let demands = request.demands.iter();
+    let grants = demands.map(|d| grant(proxy, key, kept, asker, request.seq, d, now));
+    Some(grants.collect())
+}
+
+fn grant(
+    proxy: &Proxy,
+    key: ShardKey,
+    kept: &mut Kept,
+    asker: AskerKey,
+    seq: u64,
+    demand: &QuotaDemand,
+    now: Ms,
+) -> QuotaGrant {
+    // The configuration of the other daemon may name accounts that this one does not know yet.
+    let account = proxy.accounts.find(&demand.account);
+    let Some(account) = account.filter(|a| proxy.quota_shard(*a) == key) else {
+        return QuotaGrant {
+            granted: 0,
+            retry_ms: REQUEST_INTERVAL_MS,
+        };
+    };
+    let Some(limit) = proxy.quota_limit(account) else {
+        return QuotaGrant {
+            granted: demand.wanted,
+            retry_ms: 0,
+        };
+    };
+    let demand = AccountDemand {
+        asker,
+        seq,
+        account,
+        wanted: demand.wanted,
+        reports: &demand.reports,
+    };
+    kept.keeper.answer(&demand, limit, now)
+}
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -324,7 +324,14 @@
             write: false,
             arrival,
         };
-        let cx = StatementContext::new(&group, &route, self.identity, self.last_write, arrival);
+        let cx = StatementContext::new(
+            proxy,
+            &group,
+            &route,
+            self.identity,
+            self.last_write,
+            arrival,
+        );
         let reply = tx.commit(&cx, &task, &self.vars).await;
         record_outcome(proxy, &cx, &task, &reply);
         self.record_position(&reply, true);
@@ -335,8 +342,14 @@
         let Some((route, group)) = proxy.route(&self.database) else {
             return self.with_session_state(Reply::error(ErrorKind::NoDatabase, &self.database));
         };
-        let cx =
-            StatementContext::new(&group, &route, self.identity, self.last_write, task.arrival);
+        let cx = StatementContext::new(
+            proxy,
+            &group,
+            &route,
+            self.identity,
+            self.last_write,
+            task.arrival,
+        );
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &task, &self.vars).await,
             None => run_single(&cx, &task, &self.vars).await,
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of one daemon.
 
+use crate::QuotaRules;
+
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -13,4 +15,6 @@
     pub drain_ms: u64,
     /// Longest time from when a member joins its group until the platform lists it, in ms.
     pub listing_delay_ms: u64,
+    /// How far the rate limits of client accounts are binding.
+    pub quota: QuotaRules,
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,8 +8,8 @@
 use base::{Ms, Signal, sleep_ms};
 
 use crate::{
-    Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers, Route, Settings,
-    Stats, owners, tunnel,
+    Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers, Quota, QuotaApi,
+    Route, Settings, Stats, owners, tunnel,
 };
 
 /// One daemon.
@@ -27,6 +27,8 @@
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
     /// Client accounts of the configuration in force.
     pub accounts: Accounts,
+    /// Rate limits of the client accounts.
+    pub quota: Quota,
     /// Time after which an idle transaction is rolled back, in ms.
     pub tx_idle_ms: Cell<u64>,
     /// The other daemons.
@@ -50,8 +52,14 @@
 
 impl Proxy {
     /// Creates a daemon without configuration, members or peers.
-    pub fn new(settings: Settings, codec: Codec, failover_api: FailoverApi) -> Rc<Proxy> {
+    pub fn new(
+        settings: Settings,
+        codec: Codec,
+        failover_api: FailoverApi,
+        quota_api: QuotaApi,
+    ) -> Rc<Proxy> {
         Rc::new(Proxy {
+            quota: Quota::new(settings.quota, quota_api),
             settings,
             codec,
             failover_api,
@@ -133,9 +141,10 @@
     }
 
     /// Ends all sessions once they are between transactions, including those handed off to other
-    /// daemons.
+    /// daemons; releases the locks of the rate limits.
     pub fn drain_sessions(&self) {
         self.draining.set(true);
+        self.quota.stop();
         self.stop_signal.notify();
         tunnel::announce_stop(self.peers.all(), &self.settings.name);
     }
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -47,6 +47,14 @@
     pub reason: &'static str,
 }
 
+/// Labels of the metrics by client account.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub struct AccountLabels {
+    /// Name of the account; `other` for those that are not among the busiest.
+    pub account: String,
+}
+
 /// Metrics of a daemon.
 pub struct Stats {
     registry: Registry,
@@ -69,6 +77,12 @@
     pub config_version: Gauge,
     /// Era of the platform's store; set when the metrics are served.
     pub store_era: Gauge,
+    /// Operations admitted under a rate limit.
+    pub quota_admitted: Family<AccountLabels, Counter>,
+    /// Operations refused for the rate limit.
+    pub quota_refused: Family<AccountLabels, Counter>,
+    /// Number of shards of the rate limits that this daemon keeps.
+    pub quota_shards: Gauge,
 }
 
 impl Default for Stats {
@@ -85,6 +99,9 @@
             sessions: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
+            quota_admitted: Family::default(),
+            quota_refused: Family::default(),
+            quota_shards: Gauge::default(),
         };
         registry.register(
             "statements",
@@ -106,11 +123,22 @@
         registry.register("config_version", help, stats.config_version.clone());
         let help = "Number of restores of the metadata store from a copy";
         registry.register("store_era", help, stats.store_era.clone());
+        stats.register_quota(&mut registry);
         Stats { registry, ..stats }
     }
 }
 
 impl Stats {
+    /// Registers the metrics of the rate limits.
+    fn register_quota(&self, registry: &mut Registry) {
+        let help = "Operations admitted under a rate limit, by account; the least busy accounts share a label";
+        registry.register("quota_admitted", help, self.quota_admitted.clone());
+        let help = "Operations refused for the rate limit, by account; the least busy accounts share a label";
+        registry.register("quota_refused", help, self.quota_refused.clone());
+        let help = "Number of shards of the rate limits that this daemon keeps";
+        registry.register("quota_shards", help, self.quota_shards.clone());
+    }
+
     /// Encodes all metrics in the `OpenMetrics` text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -85,9 +85,15 @@
                 Err(RetryDecision::Retry) => continue,
                 Err(RetryDecision::Return(reply)) => return reply,
             };
+            if let Err(refusal) = cx.mark_sent(task) {
+                roll_back_conn(cx.group, conn, None).await;
+                return refusal;
+            }
             let sent_at = Ms::now();
             self.wrote |= task.write;
-            match task.send(&mut conn, None, cx.deadline.left()).await {
+            let result = task.send(&mut conn, None, cx.deadline.left()).await;
+            cx.charge.record_reply(result.as_ref().ok());
+            match result {
                 Ok(reply) if reply.error_kind().is_some_and(ErrorKind::is_not_run) => {
                     let requirement = Requirement::Member(conn.member.key);
                     let decision = cx
@@ -126,6 +132,7 @@
         vars: &SessionVars,
         attempts: &mut Attempts,
     ) -> Result<Conn, RetryDecision> {
+        cx.charge(task).await.map_err(RetryDecision::Return)?;
         let requirement = cx
             .requirement(!self.read_only, self.began_at)
             .map_err(RetryDecision::Return)?;
@@ -201,11 +208,16 @@
             }
         }
         let mut conn = self.conn.take().expect("set above");
+        if let Err(refusal) = cx.mark_sent(task) {
+            roll_back_conn(cx.group, conn, None).await;
+            return refusal;
+        }
         let sent_at = Ms::now();
         if self.wrote {
             cx.group.pending_writes.borrow_mut().push(sent_at);
         }
         let result = task.send(&mut conn, None, cx.deadline.left()).await;
+        cx.charge.record_reply(result.as_ref().ok());
         if self.wrote {
             remove_pending_write(cx.group, sent_at);
         }
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -10,7 +10,8 @@
 use quick_error::quick_error;
 
 use super::{
-    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, STOP_PREFIX, with_peer_timeout,
+    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, QUOTA_PREFIX, STOP_PREFIX,
+    with_peer_timeout,
 };
 use crate::Peer;
 
@@ -84,6 +85,28 @@
     Ok(link)
 }
 
+/// Opens a connection to a daemon for requests to the keeper of a shard.
+///
+/// # Errors
+/// As `connect_to_peer`.
+pub(crate) async fn connect_to_keeper(
+    peer: SocketAddr,
+    version: u64,
+    shard: u32,
+) -> Result<BufferedStream, PeerError> {
+    connect_to_peer(peer, &format!("{QUOTA_PREFIX}{version}.{shard}")).await
+}
+
+/// Opens a connection to a daemon and closes it again.
+///
+/// # Errors
+/// The error of the connection; `TimedOut` when it is not opened in time.
+pub(crate) async fn probe(peer: SocketAddr) -> io::Result<()> {
+    with_peer_timeout(TcpStream::connect_addr(peer))
+        .await
+        .map(|_| ())
+}
+
 /// Pushes a configuration to a daemon, which accepts it only if its own is older.
 ///
 /// # Errors
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -3,6 +3,7 @@
 //! - `IP:PORT`: a tunnel to the member at this address.
 //! - `session.VERSION.VM`: the hand-off of a caller's session to an owner of its group.
 //! - `config.VERSION`: the push of a configuration.
+//! - `quota.VERSION.SHARD`: requests to the keeper of a shard of the rate limits.
 //! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
 //!
 //! A daemon whose own network path to a member is cut reaches it through a tunnel over another
@@ -21,7 +22,7 @@
 use monoio::net::TcpStream;
 
 pub use connect::announce_stop;
-pub(crate) use connect::{open, push_config};
+pub(crate) use connect::{PeerError, connect_to_keeper, open, probe, push_config};
 pub use hand_off::hand_off;
 pub use server::serve;
 
@@ -38,6 +39,9 @@
 /// Prefix of the target for a config push; the version follows. After the daemon has accepted it,
 /// the sender transmits the encoded configuration.
 const CONFIG_PREFIX: &str = "config.";
+/// Prefix of the target for requests to the keeper of a shard; `VERSION.SHARD` follows, the version as
+/// for a hand-off.
+const QUOTA_PREFIX: &str = "quota.";
 /// Prefix of the target by which a VM announces that it stops; its name follows.
 const STOP_PREFIX: &str = "stop.";
 /// Response to an accepted request.
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -10,9 +10,10 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::{
-    CONFIG_PREFIX, RESPONSE_OK, SESSION_PREFIX, STOP_PREFIX, read_head, with_peer_timeout,
+    CONFIG_PREFIX, QUOTA_PREFIX, RESPONSE_OK, SESSION_PREFIX, STOP_PREFIX, read_head,
+    with_peer_timeout,
 };
-use crate::{Proxy, config_push, handshake};
+use crate::{Proxy, config_push, handshake, quota};
 
 /// Longest encoded configuration.
 const MAX_CONFIG_BYTES: usize = 8 << 20;
@@ -54,6 +55,11 @@
     if let Some(version) = target.strip_prefix(CONFIG_PREFIX) {
         return receive_config(proxy, stream, version).await;
     }
+    if let Some(version_and_shard) = target.strip_prefix(QUOTA_PREFIX) {
+        let (_, shard) = version_and_shard.split_once('.').unwrap_or(("", ""));
+        write_response(&mut stream, RESPONSE_OK).await?;
+        return quota::serve(proxy, BufferedStream::new(stream)?, shard).await;
+    }
     let Some(version_and_vm) = target.strip_prefix(SESSION_PREFIX) else {
         return tunnel_to_member(proxy, stream, target).await;
     };
--- a/crates/proxy/tests/metrics.rs
+++ b/crates/proxy/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use proxy::{Outcome, ReadLabels, StatementLabels, Stats};
+use proxy::{AccountLabels, Outcome, ReadLabels, StatementLabels, Stats};
 
 /// Names and descriptions in docs/METRICS.md.
 fn documented() -> BTreeSet<(String, String)> {
@@ -30,6 +30,11 @@
     };
     stats.statements.get_or_create(&labels).inc();
     stats.reads.get_or_create(&read_labels).inc();
+    let account = || AccountLabels {
+        account: "a".to_owned(),
+    };
+    stats.quota_admitted.get_or_create(&account()).inc();
+    stats.quota_refused.get_or_create(&account()).inc();
     let text = stats.text();
     let rows = text.lines().filter_map(|line| {
         let rest = line.strip_prefix("# HELP hollyreach_")?;
