--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -15,7 +15,7 @@
 use super::frame::{MAX_FRAME_BYTES, read_frame, send_frame};
 use super::{Admission, AskerKey, REQUEST_INTERVAL_MS, Shard, ShardKey, Ticket, lock, serving};
 use crate::tunnel::{PeerError, connect_to_keeper};
-use crate::{AccountKey, Peer, Proxy, Reply, ShardLock, config_push};
+use crate::{AccountKey, Peer, Proxy, Reply, ShardLock};
 
 /// Longest wait of an operation for the answer of a keeper.
 const MAX_WAIT_MS: u64 = 150;
@@ -344,7 +344,7 @@
         }
         _ => return Lead::Nothing,
     };
-    config_push::on_peer_version(proxy, &opened.addr.to_string(), answer.version);
+    proxy.hear_version(answer.version, &answer.sender);
     if answer.is_keeper {
         *link = Some(opened);
         return Lead::Answered(Answered { answer, sent_at });
@@ -361,6 +361,7 @@
     let grants = serving::grants(proxy, key, AskerKey::OWN, request, sent_at)?;
     let answer = QuotaAnswer {
         version: request.version,
+        sender: request.sender.clone(),
         seq: request.seq,
         is_keeper: true,
         keeper: Box::from(""),
--- a/crates/proxy/src/quota/serving.rs
+++ b/crates/proxy/src/quota/serving.rs
@@ -11,7 +11,7 @@
 use super::frame::{read_frame, send_frame};
 use super::shard::Kept;
 use super::{AccountDemand, AskerKey, REQUEST_INTERVAL_MS, ShardKey, lock};
-use crate::{Proxy, ShardLock, config_push};
+use crate::{Proxy, ShardLock};
 
 /// Time without a request after which a connection is closed; longer than that after which the other
 /// side closes it.
@@ -42,7 +42,7 @@
                 return Err(e);
             }
         };
-        config_push::on_peer_version(proxy, &request.sender, request.version);
+        proxy.hear_version(request.version, &request.sender);
         let answer = answer(proxy, key, asker, &request).await;
         send_frame(&mut link, &answer).await?;
     }
@@ -67,6 +67,7 @@
     }
     QuotaAnswer {
         version: proxy.config_version.get(),
+        sender: proxy.settings.name.clone(),
         seq: request.seq,
         is_keeper: granted.is_some(),
         keeper,
