--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -10,7 +10,7 @@
 use crate::owner_set::{OwnerBasis, OwnerSet};
 use crate::{
     AccountKey, Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers,
-    Placement, Route, Settings, Stats, tunnel,
+    Placement, Quota, QuotaApi, Route, Settings, Stats, tunnel,
 };
 
 /// One daemon.
@@ -37,6 +37,8 @@
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
     /// Client accounts of the configuration in force.
     pub accounts: Rc<Accounts>,
+    /// Rate limits of the client accounts.
+    pub quota: Quota,
     /// Time after which an idle transaction is rolled back, in ms.
     pub tx_idle_ms: Cell<u64>,
     /// The other daemons.
@@ -60,8 +62,14 @@
 
 impl Proxy {
     /// Creates a daemon without configuration, members or peers.
-    pub fn new(settings: Settings, codec: Codec, failover_api: FailoverApi) -> Rc<Proxy> {
+    pub fn new(
+        settings: Settings,
+        codec: Codec,
+        failover_api: FailoverApi,
+        quota_api: QuotaApi,
+    ) -> Rc<Proxy> {
         Rc::new(Proxy {
+            quota: Quota::new(settings.quota, quota_api),
             settings,
             codec,
             failover_api,
@@ -147,9 +155,10 @@
     }
 
     /// Ends all sessions once they are between transactions, including those handed off to other
-    /// daemons.
+    /// daemons; releases the locks of the rate limits.
     pub fn drain_sessions(&self) {
         self.draining.set(true);
+        self.quota.stop();
         self.stop_signal.notify();
         tunnel::announce_stop(self.peers.all(), &self.settings.name);
     }
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -12,8 +12,8 @@
 
 use super::head::{encode_request, header};
 use super::{
-    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, STOP_PREFIX, VERSION_HEADER,
-    with_peer_timeout,
+    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, QUOTA_PREFIX, STOP_PREFIX,
+    VERSION_HEADER, with_peer_timeout,
 };
 use crate::Peer;
 
@@ -116,6 +116,28 @@
     Some(input.split_to(end + HEAD_END.len()))
 }
 
+/// Opens a connection to a daemon for requests to the keeper of a shard.
+///
+/// # Errors
+/// As `connect_to_peer`.
+pub(crate) async fn connect_to_keeper(
+    peer: SocketAddr,
+    version: u64,
+    shard: u32,
+) -> Result<BufferedStream, PeerError> {
+    connect_to_peer(peer, &format!("{QUOTA_PREFIX}{version}.{shard}")).await
+}
+
+/// Opens a connection to a daemon and closes it again.
+///
+/// # Errors
+/// The error of the connection; `TimedOut` when it is not opened in time.
+pub(crate) async fn probe(peer: SocketAddr) -> io::Result<()> {
+    with_peer_timeout(TcpStream::connect_addr(peer))
+        .await
+        .map(|_| ())
+}
+
 /// Pushes a configuration to a daemon, which accepts it only if its own is older.
 ///
 /// # Errors
