--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -6,6 +6,7 @@
 //!   it has sent one) and `account` (the one that the sender has found, if any). The messages that
 //!   follow the first one pass on the connection.
 //! - `config.VERSION`: the push of a configuration.
+//! - `quota.VERSION.SHARD`: requests to the keeper of a shard of the rate limits.
 //! - `version.VERSION.VM`: the version of the configuration in force on a VM; no bytes follow the
 //!   response.
 //! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
@@ -32,7 +33,7 @@
 use monoio::net::TcpStream;
 
 pub use connect::announce_stop;
-pub(crate) use connect::{open, push_config};
+pub(crate) use connect::{PeerError, connect_to_keeper, open, probe, push_config};
 pub use exchange::Exchange;
 pub use hand_off::hand_off;
 pub use head::{decode_hand_off, encode_hand_off};
@@ -53,6 +54,9 @@
 /// Prefix of the target for a config push; the version follows. After the daemon has accepted it,
 /// the sender transmits the encoded configuration.
 const CONFIG_PREFIX: &str = "config.";
+/// Prefix of the target for requests to the keeper of a shard; `VERSION.SHARD` follows, the version as
+/// for a hand-off.
+const QUOTA_PREFIX: &str = "quota.";
 /// Prefix of the target by which a VM tells the version of its configuration; `VERSION.VM` follows.
 const VERSION_PREFIX: &str = "version.";
 /// Prefix of the target by which a VM announces that it stops; its name follows.
