Internal port passes GET requests on; a stop is announced to serving daemons only

Cause: relays of the store will answer lists and watches at the internal port, which knew CONNECT only. A stopping daemon opened a connection to every other daemon, 2,699 in a fleet of 2,700, although only those that serve its sessions act on it.

Ruled out: an HTTP server in crates/proxy with the store's paths, which would bring the platform's format into the crate; hyper on the rest of the connection, since the head has been read already and the requests have no body.

Change: tunnel::serve_with takes a handler for GET targets; serve refuses them.

--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -137,7 +137,9 @@
     pub fn drain_sessions(&self) {
         self.draining.set(true);
         self.stop_signal.notify();
-        tunnel::announce_stop(self.peers.all(), &self.settings.name);
+        // Only these serve sessions of this daemon; a session handed off later announces the stop
+        // itself.
+        tunnel::announce_stop(self.peers.hand_off_targets(), &self.settings.name);
     }
 
     /// Ends all sessions, even inside transactions, as soon as no answer is outstanding.
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -47,6 +47,21 @@
     pub reason: &'static str,
 }
 
+/// Labels of the `store_calls` metric.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct StoreCallLabels {
+    /// Kind of the objects that the call is about.
+    kind: String,
+}
+
+/// Labels of the `relay_left` metric.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct RelayLeftLabels {
+    cause: &'static str,
+}
+
 /// Metrics of a daemon.
 pub struct Stats {
     registry: Registry,
@@ -69,6 +84,14 @@
     pub config_version: Gauge,
     /// Era of the platform's store; set when the metrics are served.
     pub store_era: Gauge,
+    /// Calls to the platform's store.
+    store_calls: Family<StoreCallLabels, Counter>,
+    /// 1 if this daemon is a relay of the store, otherwise 0.
+    pub is_relay: Gauge,
+    /// How often a relay was chosen as the source of a kind of objects.
+    pub relay_chosen: Counter,
+    /// How often a relay was left.
+    relay_left: Family<RelayLeftLabels, Counter>,
 }
 
 impl Default for Stats {
@@ -85,6 +108,10 @@
             sessions: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
+            store_calls: Family::default(),
+            is_relay: Gauge::default(),
+            relay_chosen: Counter::default(),
+            relay_left: Family::default(),
         };
         registry.register(
             "statements",
@@ -106,11 +133,36 @@
         registry.register("config_version", help, stats.config_version.clone());
         let help = "Number of restores of the metadata store from a copy";
         registry.register("store_era", help, stats.store_era.clone());
+        stats.register_relays(&mut registry);
         Stats { registry, ..stats }
     }
 }
 
 impl Stats {
+    fn register_relays(&self, registry: &mut Registry) {
+        let help = "Calls to the metadata store, by kind of object";
+        registry.register("store_calls", help, self.store_calls.clone());
+        let help = "1 if this daemon is a relay of the metadata store, otherwise 0";
+        registry.register("is_relay", help, self.is_relay.clone());
+        let help = "Choices of a relay as the source of a kind of objects";
+        registry.register("relay_chosen", help, self.relay_chosen.clone());
+        let help = "Relays left, by cause";
+        registry.register("relay_left", help, self.relay_left.clone());
+    }
+
+    /// Counts a call to the platform's store about objects of a kind.
+    pub fn count_store_call(&self, kind: &str) {
+        let kind = kind.to_owned();
+        let labels = StoreCallLabels { kind };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts that a relay was left.
+    pub fn count_relay_left(&self, cause: &'static str) {
+        let labels = RelayLeftLabels { cause };
+        self.relay_left.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics in the `OpenMetrics` text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -6,7 +6,7 @@
 use link::BufferedStream;
 
 use super::SESSION_PREFIX;
-use super::connect::connect_to_peer;
+use super::connect::{announce_stop, connect_to_peer};
 use crate::{Peer, Proxy};
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
@@ -33,6 +33,9 @@
         proxy.peers.add_handed_off(peer.addr);
         let owner = connect_to_peer(peer.addr, &target).await;
         let accepted = owner.is_ok();
+        if accepted && proxy.draining.get() {
+            announce_stop(vec![peer.clone()], &proxy.settings.name);
+        }
         if let Ok(mut owner) = owner {
             // The error is dropped: both connections are closed, and a byte stream has no room for
             // an error message.
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -5,12 +5,15 @@
 //! - `config.VERSION`: the push of a configuration.
 //! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
 //!
+//! `GET` requests are passed on to a handler that the caller of `serve_with` supplies.
+//!
 //! A daemon whose own network path to a member is cut reaches it through a tunnel over another
 //! daemon. Leases, fences and statements work as on a direct connection: the age of a probe result
 //! or position sample is counted from the sending of its request, so the delay of the tunnel cannot
 //! make it look newer.
 
 mod connect;
+mod get;
 mod hand_off;
 mod server;
 
@@ -22,8 +25,9 @@
 
 pub use connect::announce_stop;
 pub(crate) use connect::{open, push_config};
+pub use get::{GetAnswer, GetHandler};
 pub use hand_off::hand_off;
-pub use server::serve;
+pub use server::{serve, serve_with};
 
 /// Timeout for opening a connection to a daemon, including the response to `CONNECT`, or to the
 /// member behind a tunnel; also for sending a configuration and for each read of one.
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -9,6 +9,7 @@
 use monoio::io::{AsyncWriteRentExt, Splitable, copy};
 use monoio::net::{TcpListener, TcpStream};
 
+use super::get::{self, GetHandler};
 use super::{
     CONFIG_PREFIX, RESPONSE_OK, SESSION_PREFIX, STOP_PREFIX, read_head, with_peer_timeout,
 };
@@ -21,11 +22,17 @@
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY_MS: u64 = 20;
 
-/// Accepts connections from other daemons until the process ends.
+/// Accepts connections from other daemons until the process ends. Refuses `GET` requests.
 pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener) {
+    serve_with(proxy, listener, get::refuse_all()).await;
+}
+
+/// As `serve`, with `GET` requests passed on to `handler`.
+pub async fn serve_with(proxy: Rc<Proxy>, listener: TcpListener, handler: GetHandler) {
+    let handler = Rc::new(handler);
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(serve_conn(proxy.clone(), stream));
+            monoio::spawn(serve_conn(proxy.clone(), stream, handler.clone()));
         } else {
             // `accept` fails, for example, when no file descriptor is free; the listener stays
             // usable.
@@ -34,8 +41,9 @@
     }
 }
 
-async fn serve_conn(proxy: Rc<Proxy>, mut stream: TcpStream) {
+async fn serve_conn(proxy: Rc<Proxy>, mut stream: TcpStream, handler: Rc<GetHandler>) {
     let result = match read_head(&mut stream).await {
+        Ok(head) if get::is_get(&head) => get::serve(stream, head, &handler).await,
         Ok(head) => handle_request(&proxy, stream, &head).await,
         Err(e) => Err(e),
     };
--- a/crates/proxy/tests/metrics.rs
+++ b/crates/proxy/tests/metrics.rs
@@ -30,6 +30,8 @@
     };
     stats.statements.get_or_create(&labels).inc();
     stats.reads.get_or_create(&read_labels).inc();
+    stats.count_store_call("config");
+    stats.count_relay_left("silent");
     let text = stats.text();
     let rows = text.lines().filter_map(|line| {
         let rest = line.strip_prefix("# HELP hollyreach_")?;
