Stand-in store counts calls by daemon and kind

Cause: relays are to reduce the calls to the store, which no test could count.

Change: every request is counted before an outage applies to it.

--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -158,11 +158,12 @@
 }
 
 async fn handle_store_request(store: &Store, daemon: &str, request: &ApiRequest) -> ApiResult {
+    // The path is /hollyreach/objects/KIND[/NAME].
+    let kind = request.path_segments.get(2).map_or("", String::as_str);
+    store.count_call(daemon, kind);
     if let Some(answer) = apply_outage(store, daemon).await? {
         return Ok(answer);
     }
-    // The path is /hollyreach/objects/KIND[/NAME].
-    let kind = request.path_segments.get(2).map_or("", String::as_str);
     let name = request.path_segments.get(3).map(String::as_str);
     if request.method == "GET" {
         return Ok(match (name, request.query.get("watch")) {
--- a/crates/world/src/store.rs
+++ b/crates/world/src/store.rs
@@ -62,6 +62,8 @@
     pub changed: Signal,
     /// Outage and its end by daemon; the empty name applies to all daemons.
     outages: RefCell<HashMap<Box<str>, (Outage, Ms)>>,
+    /// Number of calls so far by daemon and kind, including those that an outage affected.
+    calls: RefCell<BTreeMap<Key, u64>>,
 }
 
 /// Reason why a conditional write was refused.
@@ -73,6 +75,23 @@
 }
 
 impl Store {
+    /// Counts a call of a daemon about objects of a kind.
+    pub fn count_call(&self, daemon: &str, kind: &str) {
+        let key = (daemon.into(), kind.into());
+        *self.calls.borrow_mut().entry(key).or_default() += 1;
+    }
+
+    /// Number of calls of a daemon so far about objects of a kind.
+    pub fn calls(&self, daemon: &str, kind: &str) -> u64 {
+        let key = (daemon.into(), kind.into());
+        self.calls.borrow().get(&key).copied().unwrap_or(0)
+    }
+
+    /// Number of calls of all daemons so far.
+    pub fn all_calls(&self) -> u64 {
+        self.calls.borrow().values().sum()
+    }
+
     /// Starts an outage of `ms` milliseconds for a daemon, or for all with an empty name.
     pub fn inject_outage(&self, daemon: &str, outage: Outage, ms: u64) {
         let until = Ms::now().plus(ms);
