--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -7,7 +7,7 @@
 use bytes::BytesMut;
 use link::BufferedStream;
 
-use super::connect::{PeerError, send_head};
+use super::connect::{PeerError, announce_stop, send_head};
 use super::exchange::Exchange;
 use super::head::encode_hand_off;
 use crate::closing::{close_after_reply, read_arrived};
@@ -45,6 +45,9 @@
         if let Ok((_, Some(version))) | Err(PeerError::Refused(Some(version))) = &answer {
             proxy.hear_version(*version, &peer.name);
         }
+        if answer.is_ok() && proxy.draining.get() {
+            announce_stop(vec![peer.clone()], &proxy.settings.name);
+        }
         if let Ok((mut owner, _)) = answer {
             let mut forwarder = Forwarder {
                 proxy,
--- a/crates/proxy/tests/metrics.rs
+++ b/crates/proxy/tests/metrics.rs
@@ -35,6 +35,8 @@
     };
     stats.quota_admitted.get_or_create(&account()).inc();
     stats.quota_refused.get_or_create(&account()).inc();
+    stats.count_store_call("config");
+    stats.count_relay_left("silent");
     let text = stats.text();
     let rows = text.lines().filter_map(|line| {
         let rest = line.strip_prefix("# HELP hollyreach_")?;
