Configurations do not prolong an idle transaction; no session goes to an owner of an earlier release

Cause: since each configuration wakes the sessions while accounts are in force, the idle timeout of a transaction began anew with each. An owner of an earlier release accepts the new form of a hand-off and then waits for the first message, which does not come. Change: the idle timeout counts from the last reply. A hand-off counts as accepted only if the response names the owner's version, which earlier releases do not.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -129,6 +129,7 @@
     /// connection after an error.
     pub async fn run(&mut self, proxy: &Rc<Proxy>, link: &mut BufferedStream) {
         let mut out = BytesMut::new();
+        let mut idle_since = Ms::now();
         loop {
             self.check_key(proxy);
             if self.should_end(proxy) && link.input.is_empty() {
@@ -136,10 +137,11 @@
                 return;
             }
             link.release_buffer();
-            let request = match self.next_event(proxy, link).await {
+            let request = match self.next_event(proxy, link, idle_since).await {
                 SessionEvent::Request(request) => request,
                 SessionEvent::TxIdleTimeout => {
                     self.roll_back_idle(proxy).await;
+                    idle_since = Ms::now();
                     continue;
                 }
                 SessionEvent::ProtocolError(e) => {
@@ -165,6 +167,7 @@
             if link.send(&out).await.is_err() {
                 return;
             }
+            idle_since = Ms::now();
             // Disconnects so that the caller reconnects to a daemon that can reach the primaries.
             // A handed-off session stays open: the daemon that forwards it may already have sent
             // the next statement, which would be lost.
@@ -223,8 +226,14 @@
         let _ = link.shut_down().await;
     }
 
-    /// Waits for the next message, the idle timeout of an open transaction, or the stop signal.
-    async fn next_event(&self, proxy: &Rc<Proxy>, link: &mut BufferedStream) -> SessionEvent {
+    /// Waits for the next message, the idle timeout of an open transaction, or the stop signal. The
+    /// timeout counts from `idle_since`, because the signal also fires with each configuration.
+    async fn next_event(
+        &self,
+        proxy: &Rc<Proxy>,
+        link: &mut BufferedStream,
+        idle_since: Ms,
+    ) -> SessionEvent {
         let generation = proxy.stop_signal.generation();
         // `run` ends the session only once no input is buffered; a message that has begun to arrive
         // is still served.
@@ -232,7 +241,8 @@
             return read_request(proxy.codec, link).await;
         }
         let idle_timeout = if self.tx.is_some() {
-            proxy.tx_idle_ms.get()
+            let tx_idle_ms = proxy.tx_idle_ms.get();
+            tx_idle_ms.saturating_sub(idle_since.elapsed())
         } else {
             u64::from(u32::MAX)
         };
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -45,7 +45,9 @@
         if let Ok((_, Some(version))) | Err(PeerError::Refused(Some(version))) = &answer {
             proxy.hear_version(*version, &peer.name);
         }
-        if let Ok((mut owner, _)) = answer {
+        // An answer without a version is from an earlier release, which would wait for the first
+        // message.
+        if let Ok((mut owner, Some(_))) = answer {
             let mut forwarder = Forwarder {
                 proxy,
                 database: &request.database,
