--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -48,7 +48,9 @@
         if answer.is_ok() && proxy.draining.get() {
             announce_stop(vec![peer.clone()], &proxy.settings.name);
         }
-        if let Ok((mut owner, _)) = answer {
+        // An answer without a version is from an earlier release, which would wait for the first
+        // message.
+        if let Ok((mut owner, Some(_))) = answer {
             let mut forwarder = Forwarder {
                 proxy,
                 database: &request.database,
