The owners of a group are found without sorting the whole fleet

Cause: a change of the list of daemons computes the owners of every group again. Change: only the heaviest daemons of each data centre are kept in order; the hash uses one buffer.

--- a/crates/proxy/src/ownership.rs
+++ b/crates/proxy/src/ownership.rs
@@ -6,7 +6,6 @@
 //! owners are fewer, also in a small fleet, and an account's sessions meet at one of them.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -52,14 +51,15 @@
     usize::try_from(share).unwrap_or(max).clamp(MIN_OWNERS, max)
 }
 
-/// Hash of names, the same on every daemon and in every version of the program.
-fn stable_hash(parts: &[&str]) -> u64 {
-    let mut bytes = Vec::new();
+/// Hash of names, the same on every daemon and in every version of the program. `bytes` is scratch
+/// space.
+fn stable_hash(parts: &[&str], bytes: &mut Vec<u8>) -> u64 {
+    bytes.clear();
     for part in parts {
         bytes.extend_from_slice(part.as_bytes());
         bytes.push(SEPARATOR);
     }
-    xxh3_64(&bytes)
+    xxh3_64(bytes)
 }
 
 /// The owners of a group, or `None` when every daemon serves it.
@@ -75,29 +75,53 @@
     if placement == Placement::AnyOwner && fleet.len() <= MAX_SMALL_FLEET_SIZE {
         return None;
     }
-    let mut ranked = fleet.to_vec();
-    ranked.sort_by_cached_key(|c| Reverse(stable_hash(&[group, c.name])));
-    let mut seen: HashMap<&str, usize> = HashMap::new();
-    let mut chosen: Vec<(usize, Candidate)> = Vec::with_capacity(ranked.len());
-    for candidate in ranked {
-        let count = seen.entry(candidate.data_center).or_default();
-        chosen.push((*count, candidate));
-        *count += 1;
+    let count = owner_count(conns, placement);
+    let mut chosen: Vec<(usize, Reverse<u64>, Candidate)> = Vec::new();
+    for ranked in best_by_data_center(group, fleet, count) {
+        let numbered = ranked.into_iter().enumerate();
+        chosen.extend(numbered.map(|(n, (weight, c))| (n, weight, c.clone())));
     }
-    chosen.sort_by_key(|c| c.0);
-    chosen.truncate(owner_count(conns, placement));
-    Some(chosen.into_iter().map(|c| c.1).collect())
+    chosen.sort_by_key(|c| (c.0, c.1));
+    chosen.truncate(count);
+    Some(chosen.into_iter().map(|c| c.2).collect())
+}
+
+/// The `count` daemons of each data centre that weigh most for a group, the heaviest first. The rest
+/// of the fleet is not sorted: there may be thousands of daemons for each of many groups.
+fn best_by_data_center<'f, 'a>(
+    group: &str,
+    fleet: &'f [Candidate<'a>],
+    count: usize,
+) -> Vec<Vec<(Reverse<u64>, &'f Candidate<'a>)>> {
+    let mut best: Vec<Vec<(Reverse<u64>, &Candidate)>> = Vec::new();
+    let mut bytes = Vec::new();
+    for candidate in fleet {
+        let weight = Reverse(stable_hash(&[group, candidate.name], &mut bytes));
+        let is_here =
+            |b: &Vec<(Reverse<u64>, &Candidate)>| b[0].1.data_center == candidate.data_center;
+        let Some(here) = best.iter_mut().find(|b| is_here(b)) else {
+            best.push(vec![(weight, candidate)]);
+            continue;
+        };
+        let i = here.partition_point(|b| b.0 <= weight);
+        if i < count {
+            here.insert(i, (weight, candidate));
+            here.truncate(count);
+        }
+    }
+    best
 }
 
 /// The order in which the owners of a group are asked to serve an account's sessions, as indexes
 /// into `owners`, which are names with weights: an owner with twice the weight is the first for
 /// twice as many accounts.
 pub fn rank_owners(group: &str, account: &str, owners: &[(&str, f64)]) -> Vec<usize> {
-    let score = |&i: &usize| {
+    let mut bytes = Vec::new();
+    let mut score = |i: usize| {
         let (name, weight) = owners[i];
-        -unit(stable_hash(&[group, account, name])).ln() / weight
+        -unit(stable_hash(&[group, account, name], &mut bytes)).ln() / weight
     };
-    let mut order: Vec<(f64, usize)> = (0..owners.len()).map(|i| (score(&i), i)).collect();
+    let mut order: Vec<(f64, usize)> = (0..owners.len()).map(|i| (score(i), i)).collect();
     order.sort_by(|a, b| {
         let by_name = || owners[a.1].0.cmp(owners[b.1].0);
         a.0.total_cmp(&b.0).then_with(by_name)
