A keeper that nobody asks hands its shard on with full buckets

Cause: every keeper after the first granted nothing for 500 ms and began with little, so that a single operation after 5 s without any was refused. Ruled out: keeping the lock without requests; a keeper that the others cannot reach would keep it. Change: the lock says how the next keeper begins. After a window and the life of a grant without any request, it begins as the first one does. A daemon that alone asks itself still hands over after 5 s. A request leaves out only the accounts that do not fit.

--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -193,10 +193,11 @@
             continue;
         }
         let name = proxy.accounts.name(*account);
-        bytes += DEMAND_BYTES + name.len() + REPORT_BYTES * holding.lot_count();
-        if bytes > MAX_FRAME_BYTES {
-            break;
+        let demand = DEMAND_BYTES + name.len() + REPORT_BYTES * holding.lot_count();
+        if bytes + demand > MAX_FRAME_BYTES {
+            continue;
         }
+        bytes += demand;
         accounts.push(*account);
         demands.push(QuotaDemand {
             account: (&*name).into(),
--- a/crates/proxy/src/quota/keeper.rs
+++ b/crates/proxy/src/quota/keeper.rs
@@ -11,7 +11,8 @@
 /// What a keeper follows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Start {
-    /// The shard has never had a keeper.
+    /// None that has granted anything within a window: the shard has never had a keeper, or the
+    /// former one released the lock after a longer time without a request.
     First,
     /// An earlier keeper, which began more than a window before its end.
     Successor,
--- a/crates/proxy/src/quota/keeper_lease.rs
+++ b/crates/proxy/src/quota/keeper_lease.rs
@@ -2,15 +2,15 @@
 
 use base::Ms;
 
-use super::{QuotaRules, Start};
+use super::{GRANT_TTL_MS, QuotaRules, Start};
 
 /// Time from the sending of the last acknowledged write of the lock for which the holder is keeper.
 /// Another daemon takes the lock only after it has seen nothing new for as long.
 pub const KEEPER_LEASE_MS: u64 = 8000;
 /// Interval at which the holder writes the lock again.
 pub const RENEWAL_INTERVAL_MS: u64 = 1500;
-/// Time without a request from another daemon after which the lock is released. A keeper that the
-/// others cannot reach would otherwise keep the lock as long as it reaches the store.
+/// Time without a request from another daemon after which the lock is released, at least. A keeper that
+/// the others cannot reach would otherwise keep the lock as long as it reaches the store.
 const UNASKED_RELEASE_MS: u64 = 5000;
 
 /// The lease of a keeper.
@@ -60,19 +60,36 @@
         now >= self.written_at.plus(RENEWAL_INTERVAL_MS)
     }
 
-    /// Whether the lock is to be released. Without other daemons, those of this one count.
-    pub fn is_release_due(&self, has_peers: bool, now: Ms) -> bool {
-        let asked_at = if has_peers {
-            self.asked_at
-        } else {
-            self.asked_at.max(self.own_asked_at)
-        };
-        now >= asked_at.plus(UNASKED_RELEASE_MS)
+    /// Whether the lock is to be released: nobody asks, or only this daemon does although there are
+    /// others.
+    pub fn is_release_due(&self, rules: &QuotaRules, has_peers: bool, now: Ms) -> bool {
+        let is_own_only = has_peers && now < self.own_asked_at.plus(UNASKED_RELEASE_MS);
+        if is_own_only {
+            return now >= self.asked_at.plus(UNASKED_RELEASE_MS);
+        }
+        self.is_unused(rules, now) && now >= self.last_asked_at().plus(UNASKED_RELEASE_MS)
     }
 
-    /// Whether a successor may give out the tolerance of a window: this keeper has not done so
-    /// within the last window.
-    pub fn is_settled(&self, rules: &QuotaRules, now: Ms) -> bool {
-        self.start == Start::First || now >= self.gained_at.plus(rules.window_ms)
+    fn last_asked_at(&self) -> Ms {
+        self.asked_at.max(self.own_asked_at)
+    }
+
+    /// Whether all grants of this keeper had expired a window ago.
+    fn is_unused(&self, rules: &QuotaRules, now: Ms) -> bool {
+        now >= self.last_asked_at().plus(rules.window_ms + GRANT_TTL_MS)
+    }
+
+    /// How a keeper begins that takes the lock after what is written at this instant. If the lock is
+    /// not `released`, more may be granted until then.
+    pub fn next_start(&self, rules: &QuotaRules, released: bool, now: Ms) -> Start {
+        if released && self.is_unused(rules, now) {
+            return Start::First;
+        }
+        // Only one keeper within a window may give out its tolerance.
+        if self.start == Start::First || now >= self.gained_at.plus(rules.window_ms) {
+            Start::Successor
+        } else {
+            Start::SuccessorInWindow
+        }
     }
 }
--- a/crates/proxy/src/quota/lock.rs
+++ b/crates/proxy/src/quota/lock.rs
@@ -7,7 +7,7 @@
 use base::{Event, Ms, emit, sleep_ms};
 
 use super::shard::Kept;
-use super::{Keeper, KeeperLease, Quota, ShardKey};
+use super::{Keeper, KeeperLease, Quota, ShardKey, Start};
 use crate::{Proxy, Renewal, ShardClaim, ShardLock, ShardRecord, tunnel};
 
 /// Time for which the result of an attempt to take a lock is used again. It bounds the calls to the
@@ -48,7 +48,7 @@
     let now = Ms::now();
     if shard.is_keeper(now) {
         return Some(ShardLock::Taken {
-            start: super::Start::Successor,
+            start: Start::Successor,
             former: None,
         });
     }
@@ -120,9 +120,11 @@
             quota.shard(key).kept.take();
             break "the lease ran out";
         }
-        if lease.is_release_due(!proxy.peers.all().is_empty(), now) {
-            let claim_from = now.plus(RELEASED_PAUSE_MS);
-            quota.shard(key).claim_from.set(claim_from);
+        if lease.is_release_due(&quota.rules, !proxy.peers.all().is_empty(), now) {
+            if lease.next_start(&quota.rules, true, now) != Start::First {
+                let claim_from = now.plus(RELEASED_PAUSE_MS);
+                quota.shard(key).claim_from.set(claim_from);
+            }
             release(quota, key).await;
             break "released, since no other daemon asked";
         }
@@ -148,7 +150,7 @@
     let sent_at = Ms::now();
     let record = ShardRecord {
         shard: key.0,
-        settled: lease.is_settled(&quota.rules, sent_at),
+        next: lease.next_start(&quota.rules, false, sent_at),
     };
     match (quota.api.renew)(record).await {
         Renewal::Renewed => {
@@ -169,7 +171,7 @@
     };
     let record = ShardRecord {
         shard: key.0,
-        settled: kept.lease.is_settled(&quota.rules, Ms::now()),
+        next: kept.lease.next_start(&quota.rules, true, Ms::now()),
     };
     quota.releasing.set(quota.releasing.get() + 1);
     (quota.api.release)(record).await;
--- a/crates/proxy/src/quota_api.rs
+++ b/crates/proxy/src/quota_api.rs
@@ -29,8 +29,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ShardRecord {
     pub shard: u32,
-    /// Whether the next keeper may give out the tolerance of a window.
-    pub settled: bool,
+    /// How the next keeper begins.
+    pub next: Start,
 }
 
 /// The result of a renewal.
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -145,10 +145,28 @@
     lease.renew(Ms(1500));
     assert!(lease.is_valid(Ms(KEEPER_LEASE_MS + 1499)));
     lease.record_request(false, Ms(5000));
-    assert!(!lease.is_release_due(true, Ms(5099)));
-    assert!(lease.is_release_due(true, Ms(5100)));
-    assert!(!lease.is_release_due(false, Ms(9999)));
-    assert!(!lease.is_settled(&RULES, Ms(5099)) && lease.is_settled(&RULES, Ms(5100)));
+    let is_due =
+        |lease: &KeeperLease, has_peers, at| lease.is_release_due(&RULES, has_peers, Ms(at));
+    assert!(!is_due(&lease, true, 5099) && is_due(&lease, true, 5100));
+    // Without other daemons, it is released once all its grants had expired a window ago.
+    assert!(!is_due(&lease, false, 10_499) && is_due(&lease, false, 10_500));
+}
+
+/// Guards against two keepers that give out the tolerance of the same window, and against a full
+/// bucket after one that has granted something within the window.
+#[test]
+fn the_next_keeper_begins_as_the_last_one_allows() {
+    let next = |lease: &KeeperLease, released, at| lease.next_start(&RULES, released, Ms(at));
+    let mut lease = KeeperLease::new(Start::Successor, Ms(0), Ms(100));
+    lease.record_request(true, Ms(1000));
+    assert_eq!(next(&lease, false, 5099), Start::SuccessorInWindow);
+    assert_eq!(next(&lease, true, 5100), Start::Successor);
+    assert_eq!(next(&lease, true, 6499), Start::Successor);
+    assert_eq!(next(&lease, true, 6500), Start::First);
+    // It may still grant something until the lock is taken from it.
+    assert_eq!(next(&lease, false, 6500), Start::Successor);
+    let first = KeeperLease::new(Start::First, Ms(0), Ms(100));
+    assert_eq!(next(&first, true, 100), Start::Successor);
 }
 
 /// Guards against the use of a grant after its time, which counts from the sending of the request.
--- a/crates/proxy/tests/quota_simulation.rs
+++ b/crates/proxy/tests/quota_simulation.rs
@@ -166,7 +166,8 @@
     holder: Option<(usize, AskerKey)>,
     revision: u64,
     done: bool,
-    settled: bool,
+    /// How the next keeper begins.
+    next: Option<Start>,
 }
 
 #[derive(Debug, Default)]
@@ -462,13 +463,15 @@
         let start = match holder {
             None => Start::First,
             Some(_) if self.variant == Variant::FullStart => Start::First,
-            Some(_) if self.lock.settled => Start::Successor,
-            Some(_) => Start::SuccessorInWindow,
+            Some(_) => self.lock.next.unwrap_or(Start::SuccessorInWindow),
         };
         self.lock.holder = Some((d, self.daemons[d].process));
         self.lock.revision += 1;
         self.lock.done = false;
-        self.lock.settled = holder.is_none();
+        self.lock.next = Some(match start {
+            Start::First => Start::Successor,
+            Start::Successor | Start::SuccessorInWindow => Start::SuccessorInWindow,
+        });
         // One in eight writes is made but not acknowledged.
         if self.rng.u8(0..8) == 0 {
             return;
@@ -492,12 +495,15 @@
         }
         let holds = self.lock.holder == Some((d, self.daemons[d].process));
         let reaches = self.script.reaches_store(self.now, d);
-        if lease.is_release_due(self.daemons.len() > 1, now) {
+        if lease.is_release_due(&RULES, self.daemons.len() > 1, now) {
             self.daemons[d].kept = None;
-            self.daemons[d].claim_from = self.now + 2000;
+            let next = lease.next_start(&RULES, true, now);
+            if next != Start::First {
+                self.daemons[d].claim_from = self.now + 2000;
+            }
             if reaches && holds {
                 self.lock.done = true;
-                self.lock.settled = lease.is_settled(&RULES, now);
+                self.lock.next = Some(next);
                 self.lock.revision += 1;
             }
             return;
@@ -510,7 +516,7 @@
             return;
         }
         self.lock.revision += 1;
-        self.lock.settled = lease.is_settled(&RULES, now);
+        self.lock.next = Some(lease.next_start(&RULES, false, now));
         if let Some((_, lease)) = self.daemons[d].kept.as_mut() {
             lease.renew(now);
         }
@@ -842,7 +848,8 @@
         load: [0.6, 1.5, 4.0, 7.5][rng.usize(0..4)],
         weights: (0..daemons).map(|_| 0.05 + rng.f64()).collect(),
         loss: [0.0, 0.02, 0.2][rng.usize(0..3)],
-        pulse_ms: [0, 2000, 6000][rng.usize(0..3)],
+        // One without load is longer than a keeper waits before it releases the lock.
+        pulse_ms: [0, 2000, 6000, 7000][rng.usize(0..4)],
         max_wait_ms: [0, 300, 1500][rng.usize(0..3)],
         has_late_messages: rng.bool(),
         faults,
@@ -852,7 +859,7 @@
 /// A random script with random faults.
 fn random_script(seed: u64) -> Script {
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
-    let count = rng.usize(0..20);
+    let count = rng.usize(0..24);
     let mut fault = || (rng.u16(..), rng.u8(..), rng.u8(..), rng.u16(..));
     let faults: Vec<_> = (0..count).map(|_| fault()).collect();
     script(seed, &faults)
