Daemons look for the keeper at others first

Cause: a daemon with demand alone became keeper itself, handed over after 5 s because no other asked, and had no grants for 500 ms. Ruled out: no hand-over; a keeper that the others cannot reach would keep the lock. Change: this daemon is its own last candidate. A daemon that has a connection to the keeper names it without a call to the store. Run: tests of platform, all passed, with a new one of a daemon that has demand alone; clippy of the workspace is clean.

--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -25,7 +25,7 @@
 const RETRY_DELAY_MS: u64 = 250;
 /// Time without anything to ask after which the connection to the keeper is closed.
 const IDLE_CLOSE_MS: u64 = 10_000;
-/// Number of daemons that are asked for the keeper in one attempt.
+/// Number of other daemons that are asked for the keeper in one attempt.
 const MAX_CANDIDATES: usize = 3;
 /// Bytes that a demand needs at most, apart from its account's name and its reports.
 const DEMAND_BYTES: usize = 16;
@@ -143,6 +143,7 @@
             ask_once(&proxy, key, &mut link).await;
         } else if now >= last_business.plus(IDLE_CLOSE_MS) {
             link = None;
+            shard.keeper.set(None);
         }
     }
 }
@@ -163,6 +164,7 @@
     let shard = proxy.quota.shard(key);
     let prepared = prepare(proxy, shard);
     let answered = ask_keeper(proxy, key, link, &prepared.request).await;
+    shard.keeper.set(link.as_ref().map(|l| l.addr));
     let now = Ms::now();
     let failed = answered.is_none();
     if shard.is_unreachable.replace(failed) != failed {
@@ -253,24 +255,16 @@
     None
 }
 
-/// The daemons that are asked for the keeper, by rank.
+/// The daemons that are asked for the keeper: others by rank, then this one. A keeper that only its
+/// own daemon asks hands over after a while, which interrupts the grants, so that another daemon is
+/// better where there is one.
 fn candidates(proxy: &Proxy, key: ShardKey) -> Vec<Candidate> {
     let rank = |name: &str| Reverse(xxh3_64(format!("{}.{name}", key.0).as_bytes()));
-    let mut ranked = vec![(rank(&proxy.settings.name), Candidate::Own)];
-    for peer in proxy.peers.all() {
-        ranked.push((rank(&peer.name), Candidate::Peer(peer)));
-    }
-    ranked.sort_by_key(|(rank, _)| *rank);
-    // One that cannot be reached must not keep this daemon from becoming the keeper.
-    let own = ranked
-        .iter()
-        .position(|(_, c)| matches!(c, Candidate::Own))
-        .expect("listed above");
-    if own >= MAX_CANDIDATES {
-        ranked.swap(own, MAX_CANDIDATES);
-    }
-    let ranked = ranked.into_iter().take(MAX_CANDIDATES + 1);
-    ranked.map(|(_, candidate)| candidate).collect()
+    let mut peers = proxy.peers.all();
+    peers.sort_by_cached_key(|peer| rank(&peer.name));
+    peers.truncate(MAX_CANDIDATES);
+    let peers = peers.into_iter().map(Candidate::Peer);
+    peers.chain([Candidate::Own]).collect()
 }
 
 /// Asks a candidate, or the keeper that it names.
--- a/crates/proxy/src/quota/lock.rs
+++ b/crates/proxy/src/quota/lock.rs
@@ -52,6 +52,11 @@
             former: None,
         });
     }
+    if let Some(addr) = shard.keeper.get().map(|addr| addr.to_string())
+        && addr != refused
+    {
+        return Some(ShardLock::Held { addr: addr.into() });
+    }
     if proxy.quota.stopping.get() || now < shard.claim_from.get() || shard.is_kept() {
         return Some(ShardLock::Unavailable);
     }
--- a/crates/proxy/src/quota/shard.rs
+++ b/crates/proxy/src/quota/shard.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use base::{Ms, Signal};
 
@@ -29,6 +30,8 @@
     pub is_unreachable: Cell<bool>,
     /// No keeper is asked before; lies ahead after an attempt in which none answered.
     pub ask_from: Cell<Ms>,
+    /// Address of the keeper whose answer came last, while the connection to it is open.
+    pub keeper: Cell<Option<SocketAddr>>,
     /// Number of the last request.
     pub last_seq: Cell<u64>,
     /// Set while this daemon holds the lock.
