--- a/crates/proxy/src/quota/keeper.rs
+++ b/crates/proxy/src/quota/keeper.rs
@@ -11,7 +11,8 @@
 /// What a keeper follows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Start {
-    /// The shard has never had a keeper.
+    /// None that has granted anything within a window: the shard has never had a keeper, or the
+    /// former one released the lock after a longer time without a request.
     First,
     /// An earlier keeper, which began more than a window before its end.
     Successor,
@@ -54,6 +55,7 @@
     pub fn answer(&mut self, demand: &AccountDemand, limit: Limit, now: Ms) -> QuotaGrant {
         let initial = self.rules.initial_level(self.start, limit);
         let level = initial + limit.refill(now.0.saturating_sub(self.gained_at.0));
+        let limit = self.rules.bucket_limit(limit);
         let bucket = self
             .buckets
             .entry(demand.account)
