A keeper's successor grants at once, also after one that the store turned away

Ruled out: a shorter lease, which ends within outages of the store of 4.5 to 9 s. Change: no pause at the start of a keeper. What the former one granted is within its own bucket, and the initial level within the tolerance of the window. A holder whose lease has ended answers at once that it is not the keeper; who asks may then take the lock, if it still has the revision that was read before.

--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -62,8 +62,10 @@
     Answered(Answered),
     /// The address of the keeper.
     Named(Box<str>),
-    /// The keeper at this address refuses connections.
-    Refused(Box<str>),
+    /// The daemon at this address is named as the keeper, but refuses connections or is not.
+    Ended(Box<str>),
+    /// The daemon that was asked is not the keeper and names none.
+    NotKeeper,
     Nothing,
 }
 
@@ -244,7 +246,7 @@
     for candidate in candidates(proxy, key) {
         let mut request = request.clone();
         let mut lead = ask_candidate(proxy, key, &candidate, &request, link).await;
-        if let Lead::Refused(addr) = lead {
+        if let Lead::Ended(addr) = lead {
             request.refused = addr;
             lead = ask_candidate(proxy, key, &candidate, &request, link).await;
         }
@@ -280,7 +282,7 @@
             ShardLock::Taken { .. } => {
                 return ask_own(proxy, key, request).map_or(Lead::Nothing, Lead::Answered);
             }
-            ShardLock::Held { addr } => addr,
+            ShardLock::Held { addr, .. } => addr,
             ShardLock::Unavailable => return Lead::Nothing,
         },
         Candidate::Peer(peer) => match ask_addr(proxy, key, peer.addr, request, link).await {
@@ -295,8 +297,9 @@
     match ask_addr(proxy, key, addr, request, link).await {
         Ok(Lead::Answered(answered)) => Lead::Answered(answered),
         Err(PeerError::Io(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            Lead::Refused(keeper)
+            Lead::Ended(keeper)
         }
+        Ok(Lead::NotKeeper) => Lead::Ended(keeper),
         Ok(_) | Err(_) => Lead::Nothing,
     }
 }
@@ -315,6 +318,37 @@
     Ok(exchange(proxy, opened, request, link).await)
 }
 
+/// Whether a daemon says that it is the keeper of a shard.
+///
+/// # Errors
+/// As `connect_to_keeper`; `PeerError::Io` also when it does not answer.
+pub(super) async fn is_keeper(
+    proxy: &Proxy,
+    key: ShardKey,
+    addr: SocketAddr,
+) -> Result<bool, PeerError> {
+    let version = proxy.config_version.get();
+    let mut link = connect_to_keeper(addr, version, key.0).await?;
+    let request = QuotaRequest {
+        version,
+        sender: proxy.settings.name.clone(),
+        seq: proxy.quota.shard(key).next_seq(),
+        refused: Box::from(""),
+        demands: Vec::new(),
+    };
+    let timeout = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
+    let exchange = async {
+        send_frame(&mut link, &request).await?;
+        read_frame::<QuotaAnswer>(&mut link).await
+    };
+    match monoio::time::timeout(timeout, exchange).await {
+        Ok(Ok(Some(answer))) => Ok(answer.is_keeper),
+        Ok(Err(e)) => Err(e.into()),
+        Ok(Ok(None)) => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+        Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut).into()),
+    }
+}
+
 /// Sends a request and reads the answer. The connection is kept if that is the keeper's.
 async fn exchange(
     proxy: &Rc<Proxy>,
@@ -345,7 +379,7 @@
         return Lead::Answered(Answered { answer, sent_at });
     }
     if answer.keeper.is_empty() {
-        return Lead::Nothing;
+        return Lead::NotKeeper;
     }
     Lead::Named(answer.keeper)
 }
--- a/crates/proxy/src/quota/keeper.rs
+++ b/crates/proxy/src/quota/keeper.rs
@@ -5,7 +5,7 @@
 use base::Ms;
 use schema::{QuotaGrant, QuotaReport};
 
-use super::{AskerKey, Bucket, GRANT_TTL_MS, Limit, QuotaRules};
+use super::{AskerKey, Bucket, Limit, QuotaRules};
 use crate::AccountKey;
 
 /// What a keeper follows.
@@ -64,14 +64,8 @@
         for report in demand.reports {
             bucket.report(demand.asker, report, now);
         }
-        // Grants of the former keeper have expired by then.
-        let begins_at = self.gained_at.plus(GRANT_TTL_MS);
-        if self.start != Start::First && now < begins_at {
-            return QuotaGrant {
-                granted: 0,
-                retry_ms: begins_at.0 - now.0,
-            };
-        }
+        // What the former keeper granted is within its own bucket, also while it has not expired; the
+        // initial level is within the tolerance of a window.
         bucket.grant(demand.asker, demand.seq, demand.wanted, now)
     }
 }
--- a/crates/proxy/src/quota/lock.rs
+++ b/crates/proxy/src/quota/lock.rs
@@ -7,8 +7,9 @@
 use base::{Event, Ms, emit, sleep_ms};
 
 use super::shard::Kept;
-use super::{Keeper, KeeperLease, Quota, ShardKey, Start};
-use crate::{Proxy, Renewal, ShardClaim, ShardLock, ShardRecord, tunnel};
+use super::{Keeper, KeeperLease, Quota, ShardKey, Start, asking};
+use crate::tunnel::PeerError;
+use crate::{Proxy, Renewal, ShardClaim, ShardLock, ShardRecord};
 
 /// Time for which the result of an attempt to take a lock is used again. It bounds the calls to the
 /// store, however many daemons ask.
@@ -22,7 +23,7 @@
 const RELEASED_PAUSE_MS: u64 = 2000;
 
 /// Finds the keeper of a shard; this daemon becomes it if the lock is free. `refused` is the address
-/// of a keeper that refused the connection of another daemon, or empty.
+/// of a daemon that another one did not find to be the keeper any more, or empty.
 pub(super) async fn find_keeper(proxy: &Rc<Proxy>, key: ShardKey, refused: &str) -> ShardLock {
     let shard = proxy.quota.shard(key);
     if shard.is_claiming.get() {
@@ -55,7 +56,11 @@
     if let Some(addr) = shard.keeper.get().map(|addr| addr.to_string())
         && addr != refused
     {
-        return Some(ShardLock::Held { addr: addr.into() });
+        // The lock was not read; its revision matters only to a claim.
+        return Some(ShardLock::Held {
+            addr: addr.into(),
+            revision: 0,
+        });
     }
     if proxy.quota.stopping.get() || now < shard.claim_from.get() || shard.is_kept() {
         return Some(ShardLock::Unavailable);
@@ -65,19 +70,29 @@
     }
     let last = shard.last_claim.borrow();
     let (lock, at) = last.as_ref()?;
-    let is_gone = matches!(lock, ShardLock::Held { addr } if **addr == *refused);
-    (now < at.plus(CLAIM_TTL_MS) && !is_gone).then(|| lock.clone())
+    let has_ended = matches!(lock, ShardLock::Held { addr, .. } if **addr == *refused);
+    (now < at.plus(CLAIM_TTL_MS) && !has_ended).then(|| lock.clone())
 }
 
 async fn claim(proxy: &Rc<Proxy>, key: ShardKey, refused: &str) -> ShardLock {
-    let gone = if is_gone(refused).await {
-        Some(refused.into())
-    } else {
-        None
-    };
-    let sent_at = Ms::now();
-    let claim = ShardClaim { shard: key.0, gone };
-    let lock = (proxy.quota.api.claim)(claim).await;
+    let mut sent_at = Ms::now();
+    let mut lock = (proxy.quota.api.claim)(ShardClaim {
+        shard: key.0,
+        ended: None,
+    })
+    .await;
+    // The holder is asked after the lock was read: whoever takes the lock meanwhile changes it.
+    if let ShardLock::Held { addr, revision } = &lock
+        && **addr == *refused
+        && has_ended(proxy, key, addr).await
+    {
+        let claim = ShardClaim {
+            shard: key.0,
+            ended: Some(*revision),
+        };
+        sent_at = Ms::now();
+        lock = (proxy.quota.api.claim)(claim).await;
+    }
     if let ShardLock::Taken { start, former } = &lock {
         let now = Ms::now();
         let kept = Kept {
@@ -98,14 +113,18 @@
     lock
 }
 
-/// Whether the process that listened at an address is gone. Another daemon's word is not enough: it
-/// may have another address in mind, or be wrong about the network.
-async fn is_gone(addr: &str) -> bool {
+/// Whether the daemon at an address does not act as keeper of a shard any more: nothing listens there,
+/// or it says so. Another daemon's word is not enough: it may have another address in mind, or be
+/// wrong about the network.
+async fn has_ended(proxy: &Proxy, key: ShardKey, addr: &str) -> bool {
     let Ok(addr) = addr.parse() else {
         return false;
     };
-    let result = tunnel::probe(addr).await;
-    result.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+    match asking::is_keeper(proxy, key, addr).await {
+        Ok(is_keeper) => !is_keeper,
+        Err(PeerError::Io(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
+        Err(PeerError::Refused(_)) => false,
+    }
 }
 
 /// Renews the lock of a shard until it is lost or released.
@@ -123,6 +142,9 @@
         };
         if !lease.is_valid(now) {
             quota.shard(key).kept.take();
+            // The store does not answer this daemon; until it does, others are told at once that the
+            // shard has no keeper here.
+            quota.shard(key).claim_from.set(now.plus(RELEASED_PAUSE_MS));
             break "the lease ran out";
         }
         if lease.is_release_due(&quota.rules, !proxy.peers.all().is_empty(), now) {
--- a/crates/proxy/src/quota/serving.rs
+++ b/crates/proxy/src/quota/serving.rs
@@ -61,7 +61,7 @@
     if granted.is_none() {
         match lock::find_keeper(proxy, key, &request.refused).await {
             ShardLock::Taken { .. } => granted = grants(proxy, key, asker, request, Ms::now()),
-            ShardLock::Held { addr } => keeper = addr,
+            ShardLock::Held { addr, .. } => keeper = addr,
             ShardLock::Unavailable => {}
         }
     }
--- a/crates/proxy/src/quota_api.rs
+++ b/crates/proxy/src/quota_api.rs
@@ -6,8 +6,9 @@
 /// An attempt to take the lock of a shard.
 pub struct ShardClaim {
     pub shard: u32,
-    /// Address that has refused a connection, so that a holder there is gone.
-    pub gone: Option<Box<str>>,
+    /// Revision of the lock in `ShardLock::Held` whose holder has ended since it was read; the lock is
+    /// taken if it still has that revision.
+    pub ended: Option<u64>,
 }
 
 /// The result of an attempt to take a lock.
@@ -20,7 +21,11 @@
         former: Option<Box<str>>,
     },
     /// The daemon at this address holds it.
-    Held { addr: Box<str> },
+    Held {
+        addr: Box<str>,
+        /// Changes with each write of the lock.
+        revision: u64,
+    },
     /// A call failed, or the lock cannot be taken yet.
     Unavailable,
 }
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -128,16 +128,6 @@
     connect_to_peer(peer, &format!("{QUOTA_PREFIX}{version}.{shard}")).await
 }
 
-/// Opens a connection to a daemon and closes it again.
-///
-/// # Errors
-/// The error of the connection; `TimedOut` when it is not opened in time.
-pub(crate) async fn probe(peer: SocketAddr) -> io::Result<()> {
-    with_peer_timeout(TcpStream::connect_addr(peer))
-        .await
-        .map(|_| ())
-}
-
 /// Pushes a configuration to a daemon, which accepts it only if its own is older.
 ///
 /// # Errors
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -35,7 +35,7 @@
 use monoio::net::TcpStream;
 
 pub use connect::announce_stop;
-pub(crate) use connect::{PeerError, connect_to_keeper, open, probe, push_config};
+pub(crate) use connect::{PeerError, connect_to_keeper, open, push_config};
 pub use exchange::Exchange;
 pub use get::{GetAnswer, GetHandler};
 pub use hand_off::hand_off;
