With client accounts, a session that no owner accepts is refused

Ruled out: moving open sessions later, which needs a cut. Change: a daemon that is no owner, or does not know the others, refuses such a session as not run (BUSY). Without accounts, all is as before.

--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -53,41 +53,62 @@
         return;
     };
     let request = SessionRequest::of_caller(database, credential);
-    if let Err(mut link) = try_hand_off(proxy, &request, link).await {
-        serve_locally(proxy, &mut link, &request).await;
+    match try_hand_off(proxy, &request, link).await {
+        Ok(()) => {}
+        Err(Kept::Here(mut link)) => serve_locally(proxy, &mut link, &request).await,
+        Err(Kept::NoOwner(mut link)) => {
+            let text = "no owner of the group can be reached";
+            refuse(proxy, &mut link, ErrorKind::Busy, text).await;
+        }
     }
 }
 
+/// The connection of a session that was not handed off.
+enum Kept {
+    /// The session is served or refused here.
+    Here(BufferedStream),
+    /// This daemon is no owner, and none has accepted the session in time. With client accounts it is
+    /// not served here: the connections of a member suffice for its owners only, and sessions are
+    /// long. After a restart of all daemons, each would else keep connections to all members.
+    NoOwner(BufferedStream),
+}
+
 /// Hands a session off to an owner of its group.
 ///
 /// # Errors
 /// Returns the connection when the session is to be served or refused here: this daemon is an
-/// owner and none that ranks before it for the account accepts, the database is unknown, the caller
-/// is denied, or no owner accepted in time.
+/// owner, the database is unknown, the caller is denied, or no owner accepted in time.
 async fn try_hand_off(
     proxy: &Rc<Proxy>,
     request: &SessionRequest,
     mut link: BufferedStream,
-) -> Result<(), BufferedStream> {
+) -> Result<(), Kept> {
     let deadline = Ms::now().plus(STARTUP_WAIT_MS);
     proxy.wait_for_config(deadline).await;
     proxy.wait_for_peers(deadline).await;
     loop {
         let Some((_, group)) = proxy.route(&request.database) else {
-            return Err(link);
+            return Err(Kept::Here(link));
         };
         let Ok(identity) = request.identify(proxy) else {
-            return Err(link);
+            return Err(Kept::Here(link));
         };
         let account = identity.map(|identity| identity.account);
+        if account.is_some() && !proxy.peers.is_known() {
+            // Every daemon would take itself for the only owner.
+            return Err(Kept::NoOwner(link));
+        }
         let Some(owners) = proxy.remote_owners(&group, account) else {
-            return Err(link);
+            return Err(Kept::Here(link));
         };
         match tunnel::hand_off(proxy, &owners, request, link).await {
             Ok(()) => return Ok(()),
             // The owners that rank before this one for the account do not accept.
-            Err(returned) if group.is_owner.get() => return Err(returned),
-            Err(returned) if deadline.left() == 0 => return Err(returned),
+            Err(returned) if group.is_owner.get() => return Err(Kept::Here(returned)),
+            Err(returned) if deadline.left() == 0 && account.is_some() => {
+                return Err(Kept::NoOwner(returned));
+            }
+            Err(returned) if deadline.left() == 0 => return Err(Kept::Here(returned)),
             Err(returned) => link = returned,
         }
         sleep_ms(HAND_OFF_RETRY_DELAY_MS).await;
