--- a/crates/proxy/src/configure.rs
+++ b/crates/proxy/src/configure.rs
@@ -30,11 +30,18 @@
                 ("routes", &routes.len()),
             ],
         );
+        let needs_check = self.accounts.in_force() || config.accounts.is_some();
         self.accounts.replace(config.accounts.as_deref());
         self.routes.replace(routes);
         self.update_ownership();
+        for group in self.groups.borrow().values() {
+            group.on_accounts_replaced();
+        }
         self.tx_idle_ms.set(config.tx_idle);
         self.config_version.set(config.version);
+        if needs_check {
+            self.stop_signal.notify();
+        }
     }
 
     fn add_group(self: &Rc<Self>, rule: &GroupRule) {
@@ -43,7 +50,13 @@
             group.rule.replace(rule.clone());
             return;
         }
-        let group = Group::new(rule.clone(), &self.settings, self.codec, &self.peers);
+        let group = Group::new(
+            rule.clone(),
+            &self.settings,
+            self.codec,
+            &self.peers,
+            &self.accounts,
+        );
         self.groups
             .borrow_mut()
             .insert(rule.name.clone(), group.clone());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,15 +1,20 @@
 //! Serves callers' sessions from groups of replicated databases.
 //!
-//! The decision modules (`lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
-//! `lag_backoff`, `ownership`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
+//! The decision modules (`authentication`, `lease`, `fence`, `history`, `queue`, `routing`, `failure_detector`,
+//! `lag_backoff`, `ownership`, `conn_budget`, `throughput`) do no I/O: they compute results from the state and the instant that they are given,
 //! and are called by the code that uses sockets. The crate depends on no wire protocol and on no
 //! platform API: `Codec` and `FailoverApi` supply both as structs of functions.
 
 mod accounts;
+mod authentication;
+mod closing;
 mod codec;
 mod config_push;
 mod configure;
 mod conn;
+mod conn_budget;
+mod conn_entry;
+mod conn_slot;
 mod credential;
 mod exec;
 mod failover;
@@ -20,12 +25,14 @@
 mod handshake;
 mod health_check;
 mod history;
+mod key_check;
 mod lag_backoff;
 mod lease;
 mod member;
 mod member_key;
 mod member_record;
 mod outcome;
+mod owner_set;
 mod ownership;
 mod peers;
 mod queue;
@@ -33,6 +40,7 @@
 mod routing;
 mod service_time;
 mod session;
+mod session_request;
 mod settings;
 mod shedding;
 mod state;
@@ -43,8 +51,12 @@
 pub mod tunnel;
 
 pub use accounts::{AccountKey, Accounts, Identity};
+pub use authentication::{Denial, authenticate};
 pub use codec::{Codec, Command, ConnectRequest, Role, Status, WireError};
 pub use conn::{Conn, ConnError};
+pub use conn_budget::{ConnBudget, ConnStep};
+pub use conn_entry::{ConnEntry, ConnKey, ConnState, Purpose};
+pub use conn_slot::ConnSlot;
 pub use credential::Credential;
 pub use failover::{AbortReason, AbortSeries};
 pub use failover_api::{
@@ -62,13 +74,14 @@
 pub use member::Member;
 pub use member_key::MemberKey;
 pub use member_record::MemberRecord;
-pub use ownership::{Candidate, owners};
+pub use ownership::{Candidate, Placement, owners, rank_owners};
 pub use peers::{Peer, Peers};
 pub use queue::{Rank, is_servable};
 pub use reply::{ErrorKind, Reply, ReplyEnd, ReplyPart, TxState};
 pub use routing::cost;
 pub use schema::{Account, Config, Freshness, GroupRule, Route};
 pub use service_time::ServiceTime;
+pub use session_request::SessionRequest;
 pub use settings::Settings;
 pub use shedding::{Demand, admitted_parts};
 pub use state::Proxy;
