--- a/crates/proxy/src/group/account_conns.rs
+++ b/crates/proxy/src/group/account_conns.rs
@@ -1,23 +1,18 @@
 //! Connections of client accounts: what `conn_budget` decides on is collected and carried out here.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use base::Ms;
 
+use super::opener::Opener;
 use super::wait_queue::Waiter;
 use super::{ConnRequest, Group};
 use crate::routing::cost;
-use crate::{
-    AccountKey, Conn, ConnBudget, ConnKey, ConnState, ConnStep, Member, MemberKey, Purpose,
-};
+use crate::{AccountKey, Conn, ConnBudget, ConnKey, ConnStep, Member, MemberKey, Purpose};
 
 /// Number of owners assumed before the other daemons are known: the highest.
 const MAX_OWNERS: u64 = 8;
 
-/// Openings that earlier waiters of a dispatch wait for, by member and purpose.
-type Claims = BTreeMap<(MemberKey, Purpose), usize>;
-
 impl Group {
     /// What the connections for the statements of a session are for.
     pub(crate) fn statement_purpose(&self, account: Option<AccountKey>) -> Purpose {
@@ -37,6 +32,7 @@
         ConnBudget {
             limit: self.rule.borrow().conns,
             used: member.used_conns(),
+            growth: member.conn_growth(),
             owners: owners.as_ref().map_or(MAX_OWNERS, |o| o.count),
             slots: member.record.borrow().slots,
             retry_at: member.retry_at.get(),
@@ -66,35 +62,49 @@
         over_limit
     }
 
-    /// Opens connections for waiters without one, in their order.
-    pub(super) fn open_for_waiters(&self, members: &[Rc<Member>], waiters: &[Rc<Waiter>], now: Ms) {
-        let mut claims = Claims::new();
-        for waiter in waiters {
-            let request = &waiter.request;
-            let Purpose::Statements(account) = request.purpose else {
-                continue;
-            };
-            let is_other = |w: &Rc<Waiter>| {
-                let is_statement = w.request.purpose != Purpose::Control;
-                is_statement && w.request.purpose != request.purpose
-            };
-            let others_wait = waiters.iter().any(is_other);
-            let eligible = members.iter().filter(|m| self.may_run(m, request, now));
-            let mut eligible: Vec<Rc<Member>> = eligible.cloned().collect();
-            eligible.sort_by(|a, b| {
-                cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
-            });
-            let fills_slots = |m: &Rc<Member>| {
-                let conns = m.conns.borrow();
-                self.budget(m).fills_slots(&conns, account)
-            };
-            waiter.waits_for_conn.set(!eligible.iter().any(fills_slots));
-            if self.is_gone(account) || claim_opening(&eligible, request, &mut claims) {
-                continue;
-            }
-            if let Some(member) = self.open_for_account(&eligible, account, others_wait, now) {
-                *claims.entry((member, request.purpose)).or_default() += 1;
-            }
+    /// Whether a statement without an idle connection lacks one of its account, and not just a free
+    /// slot of a member.
+    pub(super) fn lacks_conn(&self, request: &ConnRequest, now: Ms) -> bool {
+        let Purpose::Statements(account) = request.purpose else {
+            return false;
+        };
+        let members = self.members.borrow();
+        let mut eligible = members
+            .iter()
+            .filter(|m| self.may_run(m, request, now))
+            .peekable();
+        let fills_slots = |m: &Rc<Member>| {
+            let conns = m.conns.borrow();
+            self.budget(m).fills_slots(&conns, account)
+        };
+        self.accounts.in_force() && eligible.peek().is_some() && !eligible.any(fills_slots)
+    }
+
+    /// Opens a connection for a waiter to which no idle one could be assigned, unless one is being
+    /// opened that it can wait for.
+    pub(super) fn open_for_waiter(
+        &self,
+        members: &[Rc<Member>],
+        waiter: &Waiter,
+        opener: &mut Opener,
+        now: Ms,
+    ) {
+        let request = &waiter.request;
+        let Purpose::Statements(account) = request.purpose else {
+            return;
+        };
+        let eligible = members.iter().filter(|m| self.may_run(m, request, now));
+        let mut eligible: Vec<Rc<Member>> = eligible.cloned().collect();
+        eligible.sort_by(|a, b| {
+            cost(a, &self.data_center, now).total_cmp(&cost(b, &self.data_center, now))
+        });
+        waiter.waits_for_conn.set(self.lacks_conn(request, now));
+        if self.is_gone(account) || opener.claim(&eligible, request.purpose) {
+            return;
+        }
+        let others_wait = opener.is_other_wanted(request.purpose);
+        if let Some(member) = self.open_for_account(&eligible, account, others_wait, now) {
+            opener.add_claim(member, request.purpose);
         }
     }
 
@@ -137,12 +147,12 @@
         let Purpose::Statements(account) = request.purpose else {
             return false;
         };
-        if !self.accounts.in_force() {
-            return false;
-        }
         if self.is_gone(account) {
             return true;
         }
+        if !self.accounts.in_force() {
+            return false;
+        }
         let same = ahead.iter().filter(|p| **p == request.purpose).count();
         let mut others: Vec<Purpose> = ahead.to_vec();
         others.sort_unstable();
@@ -235,30 +245,13 @@
         }
     }
 
-    /// Whether an account is in no configuration any more, so that no connection is opened in its
-    /// name.
-    fn is_gone(&self, account: Option<AccountKey>) -> bool {
+    /// Whether an account is not in the configuration in force, so that no connection is opened in
+    /// its name.
+    pub(super) fn is_gone(&self, account: Option<AccountKey>) -> bool {
         account.is_some_and(|a| !self.accounts.in_force() || !self.accounts.is_known(a))
     }
 }
 
-/// Whether an opening is in progress that a request can wait for and no earlier one does; it is then
-/// claimed.
-fn claim_opening(members: &[Rc<Member>], request: &ConnRequest, claims: &mut Claims) -> bool {
-    for member in members {
-        let conns = member.conns.borrow();
-        let opening = conns
-            .iter()
-            .filter(|c| c.purpose == request.purpose && c.state == ConnState::Opening);
-        let claimed = claims.entry((member.key, request.purpose)).or_default();
-        if opening.count() > *claimed {
-            *claimed += 1;
-            return true;
-        }
-    }
-    false
-}
-
 /// Closes idle connections to a member.
 fn close(member: &Member, keys: &[ConnKey]) {
     let mut idle = member.idle_conns.borrow_mut();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of one daemon.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,7 +10,7 @@
 use crate::owner_set::{OwnerBasis, OwnerSet};
 use crate::{
     AccountKey, Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers,
-    Placement, Route, Settings, Stats, tunnel,
+    Placement, Quota, QuotaApi, Route, Settings, Stats, tunnel,
 };
 
 /// One daemon.
@@ -22,12 +22,23 @@
     pub failover_api: FailoverApi,
     /// Version of the configuration in force; never decreases.
     pub config_version: Cell<u64>,
+    /// Newest version that the store or another daemon has named. No older configuration comes into
+    /// force, so that a daemon that starts does not bring back what a newer one has withdrawn.
+    pub newest_heard: Cell<u64>,
+    /// The configuration in force, as it is sent to other daemons; empty before the first one.
+    pub(crate) config_bytes: RefCell<Rc<[u8]>>,
+    /// Daemons to which the configuration is being pushed because they have named an older version.
+    pub(crate) push_targets: RefCell<HashSet<SocketAddr>>,
+    /// Whether another daemon is sending a configuration.
+    pub(crate) is_receiving_config: Cell<bool>,
     /// Routes by database.
     pub routes: RefCell<HashMap<Box<str>, Rc<Route>>>,
     /// Groups by name.
     pub groups: RefCell<HashMap<Box<str>, Rc<Group>>>,
     /// Client accounts of the configuration in force.
     pub accounts: Rc<Accounts>,
+    /// Rate limits of the client accounts.
+    pub quota: Quota,
     /// Time after which an idle transaction is rolled back, in ms.
     pub tx_idle_ms: Cell<u64>,
     /// The other daemons.
@@ -51,12 +62,22 @@
 
 impl Proxy {
     /// Creates a daemon without configuration, members or peers.
-    pub fn new(settings: Settings, codec: Codec, failover_api: FailoverApi) -> Rc<Proxy> {
+    pub fn new(
+        settings: Settings,
+        codec: Codec,
+        failover_api: FailoverApi,
+        quota_api: QuotaApi,
+    ) -> Rc<Proxy> {
         Rc::new(Proxy {
+            quota: Quota::new(settings.quota, quota_api),
             settings,
             codec,
             failover_api,
             config_version: Cell::new(0),
+            newest_heard: Cell::new(0),
+            config_bytes: RefCell::new(Rc::default()),
+            push_targets: RefCell::default(),
+            is_receiving_config: Cell::new(false),
             routes: RefCell::default(),
             groups: RefCell::default(),
             accounts: Rc::default(),
@@ -134,9 +155,10 @@
     }
 
     /// Ends all sessions once they are between transactions, including those handed off to other
-    /// daemons.
+    /// daemons; releases the locks of the rate limits.
     pub fn drain_sessions(&self) {
         self.draining.set(true);
+        self.quota.stop();
         self.stop_signal.notify();
         tunnel::announce_stop(self.peers.all(), &self.settings.name);
     }
