--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! The responses to a hand-off, a push and a version name the version of the configuration in force in the
 //! header `version`. Of two daemons, the one with the newer configuration pushes it to the other.
+//! `GET` requests are passed on to a handler that the caller of `serve_with` supplies.
 //!
 //! A daemon whose own network path to a member is cut reaches it through a tunnel over another
 //! daemon. Leases, fences and statements work as on a direct connection: the age of a probe result
@@ -21,6 +22,7 @@
 
 mod connect;
 mod exchange;
+mod get;
 mod hand_off;
 mod head;
 mod server;
@@ -35,9 +37,10 @@
 pub use connect::announce_stop;
 pub(crate) use connect::{PeerError, connect_to_keeper, open, probe, push_config};
 pub use exchange::Exchange;
+pub use get::{GetAnswer, GetHandler};
 pub use hand_off::hand_off;
 pub use head::{decode_hand_off, encode_hand_off};
-pub use server::serve;
+pub use server::{serve, serve_with};
 
 /// Timeout for opening a connection to a daemon, including the response to `CONNECT`, or to the
 /// member behind a tunnel; also for sending a part of a configuration and for each read of one.
