Sessions that waited in vain for the configuration are refused

Cause: a session that opens on a daemon without a configuration waits 1,500 ms for one, and then waited as long again in the handshake. When the configuration came in that second wait, the session was served by this daemon, owner or not. After a start while the store is away all daemons did so, each with control connections and probes to every member for as long as those sessions lived. Ruled out: an incomplete list of daemons (it is complete with the first answer of the store), idle connections that are kept (trial in the issue).

--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -139,7 +139,9 @@
         refuse(proxy, link, ErrorKind::TooMany, "too many sessions").await;
         return None;
     }
-    if !proxy.wait_for_config(Ms::now().plus(STARTUP_WAIT_MS)).await {
+    // Not waited for here: `try_hand_off` has, and a session that got past it could be served by a
+    // daemon that is no owner once the configuration arrives.
+    if proxy.config_version.get() == 0 {
         refuse(proxy, link, ErrorKind::Busy, "no configuration yet").await;
         return None;
     }
