Sessions leave daemons that do not own their group; refused openings back off

Cause: a daemon that took sessions while it knew too few others, or an owner that is none any more, kept them, its probes and its connections for as long as the callers stayed; a daemon with an outdated list could hand it further ones. An opening that a full member refuses was tried again by every daemon every 150 ms, two at a time. Change: where the group has a reachable other owner, such sessions end between transactions, a third every half second; a daemon that is no owner refuses a hand-off, and the sender asks the next owner; after a refusal one opening at a time is tried, with a random delay that doubles from 150 to 600 ms.

--- a/crates/proxy/src/conn_budget.rs
+++ b/crates/proxy/src/conn_budget.rs
@@ -42,6 +42,8 @@
     pub owners: u64,
     /// Number of statements that the member runs concurrently.
     pub slots: u64,
+    /// Number of connections to the member that may be opened at once.
+    pub max_opening: u64,
     /// Instant before which no connection is opened, after a failure or a refusal of the member.
     pub retry_at: Ms,
 }
@@ -121,7 +123,7 @@
         }
         let is_opening = |c: &&ConnEntry| c.state == ConnState::Opening;
         let opening = to_u64(conns.iter().filter(is_opening).count());
-        if self.retry_at > now || opening >= self.slots.max(1) {
+        if self.retry_at > now || opening >= self.max_opening.max(1) {
             return ConnStep::Wait;
         }
         if others_wait && to_u64(own().count()) >= self.account_limit() {
--- a/crates/proxy/src/group/account_conns.rs
+++ b/crates/proxy/src/group/account_conns.rs
@@ -29,12 +29,15 @@
 
     fn budget(&self, member: &Member) -> ConnBudget {
         let owners = self.owner_set.borrow();
+        let slots = member.record.borrow().slots;
         ConnBudget {
             limit: self.rule.borrow().conns,
             used: member.used_conns(),
             growth: member.conn_growth(),
             owners: owners.as_ref().map_or(MAX_OWNERS, |o| o.count),
-            slots: member.record.borrow().slots,
+            slots,
+            // After a refusal, one opening at a time shows whether there is room again.
+            max_opening: if member.refusals.get() > 0 { 1 } else { slots },
             retry_at: member.retry_at.get(),
         }
     }
--- a/crates/proxy/src/group/conns.rs
+++ b/crates/proxy/src/group/conns.rs
@@ -15,6 +15,8 @@
 const SILENCE_PROBE_MS: u64 = 300;
 /// Delay after a failed attempt to open a connection, in ms.
 const CONNECT_RETRY_MS: u64 = 150;
+/// Longest delay after refusals in a row, in ms.
+const MAX_REFUSAL_BACKOFF_MS: u64 = 600;
 /// Number of open connections to a member up to which no idle one is closed.
 const KEPT_CONNS: u64 = 2;
 /// As `KEPT_CONNS`, for a member that has at most one free connection left.
@@ -120,6 +122,7 @@
 
     async fn on_connected(&self, mut conn: Conn) {
         let member = conn.member.clone();
+        member.refusals.set(0);
         if member.unreachable_since.replace(None).is_some() {
             emit(
                 Event::MemberRecovered,
@@ -143,6 +146,9 @@
         member.retry_at.set(now.plus(CONNECT_RETRY_MS));
         if let ConnError::Refused(kind, _) = e {
             if *kind == ErrorKind::TooMany {
+                let refusals = member.refusals.get();
+                member.refusals.set(refusals.saturating_add(1));
+                member.retry_at.set(now.plus(refusal_backoff_ms(refusals)));
                 self.give_back(member);
             }
             return;
@@ -225,6 +231,13 @@
     }
 }
 
+/// Delay after a member has refused a connection because it has too many, and `refusals` before it.
+/// All daemons that use the member are refused at once, so the delay is random and doubles.
+fn refusal_backoff_ms(refusals: u32) -> u64 {
+    let backoff_ms = (CONNECT_RETRY_MS << refusals.min(2)).min(MAX_REFUSAL_BACKOFF_MS);
+    backoff_ms / 2 + fastrand::u64(..=backoff_ms / 2)
+}
+
 fn may_try_to_open(member: &Member) -> bool {
     !member.opening.get() && !member.removed.get() && member.retry_at.get().left() == 0
 }
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -65,6 +65,9 @@
     pub(crate) owner_set: RefCell<Option<Rc<OwnerSet>>>,
     /// Number of sessions on this group that this daemon serves.
     pub sessions: Cell<u64>,
+    /// Number of these sessions that end once they are between transactions, because the group has
+    /// other owners.
+    pub(crate) sessions_to_end: Cell<u64>,
     /// Send times of single writes and of commits that await an answer.
     pub pending_writes: RefCell<Vec<Ms>>,
     accounts: Rc<Accounts>,
@@ -113,6 +116,7 @@
             is_blocked: Cell::new(false),
             owner_set: RefCell::default(),
             sessions: Cell::new(0),
+            sessions_to_end: Cell::new(0),
             pending_writes: RefCell::default(),
             accounts: accounts.clone(),
             peers: peers.clone(),
@@ -391,6 +395,13 @@
         self.is_owner.get() || self.sessions.get() > 0
     }
 
+    /// Whether a session that is between transactions ends now, because the group has other owners.
+    pub(crate) fn takes_leave(&self) -> bool {
+        let left = self.sessions_to_end.get();
+        self.sessions_to_end.set(left.saturating_sub(1));
+        left > 0
+    }
+
     /// Whether no primary has been usable for so long that statements for it are refused.
     pub fn is_primary_unavailable(&self) -> bool {
         let now = Ms::now();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -38,6 +38,7 @@
 mod queue;
 mod quota;
 mod quota_api;
+mod rehoming;
 mod reply;
 mod routing;
 mod service_time;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -72,6 +72,8 @@
     pub(crate) tunneling: Cell<bool>,
     /// Instant before which no connection for the pool is opened, unless the member is silent.
     pub(crate) retry_at: Cell<Ms>,
+    /// Number of connections in a row that the member has refused because it has too many.
+    pub(crate) refusals: Cell<u32>,
     /// Since when connections to the member fail; `None` once one succeeds or bytes are received,
     /// and before the first failure.
     pub(crate) unreachable_since: Cell<Option<Ms>>,
@@ -119,6 +121,7 @@
             opening: Cell::new(false),
             tunneling: Cell::new(false),
             retry_at: Cell::new(Ms(0)),
+            refusals: Cell::new(0),
             unreachable_since: Cell::new(None),
             conns_refused: Cell::new(false),
             probing: Cell::new(false),
--- a/crates/proxy/src/owner_set.rs
+++ b/crates/proxy/src/owner_set.rs
@@ -66,13 +66,18 @@
         owners.is_none_or(|owners| owners.iter().any(|o| o.peer.is_none()))
     }
 
+    /// The owners but for this daemon; none when every daemon serves the group.
+    pub(crate) fn others(&self) -> Vec<Peer> {
+        let owners = self.owners.iter().flatten();
+        owners.filter_map(|o| o.peer.clone()).collect()
+    }
+
     /// The owners in random order, those in a data centre first; `None` if this daemon is one.
     pub(crate) fn any_remote(&self, data_center: &str) -> Option<Vec<Peer>> {
         if self.is_owner() {
             return None;
         }
-        let owners = self.owners.iter().flatten();
-        let mut remote: Vec<Peer> = owners.filter_map(|o| o.peer.clone()).collect();
+        let mut remote = self.others();
         fastrand::shuffle(&mut remote);
         remote.sort_by_key(|p| *p.data_center != *data_center);
         Some(remote)
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -28,6 +28,8 @@
     /// `None` on public routes and where no client accounts are in force.
     identity: Option<Identity>,
     key: KeyCheck,
+    /// Whether the session ends so that its caller comes back to an owner of the group; never reset.
+    is_misplaced: bool,
     vars: SessionVars,
     /// Prepared statements by the names that the caller gave them.
     prepared: BTreeMap<Box<str>, PreparedStatement>,
@@ -80,6 +82,7 @@
             database: request.database.clone(),
             identity,
             key,
+            is_misplaced: false,
             vars: SessionVars::new(),
             prepared: BTreeMap::new(),
             last_write: Pos::ZERO,
@@ -110,10 +113,21 @@
 
     /// Whether the session must end before its next statement: always once the daemon ends its
     /// sessions by force; outside a transaction while this daemon, or the one that handed the
-    /// session off, drains its sessions, and once the caller's key is withdrawn.
+    /// session off, drains its sessions, or when it is to move to an owner, and once the caller's key
+    /// is withdrawn.
     fn should_end(&self, proxy: &Proxy) -> bool {
-        let is_drained = self.is_draining(proxy) && self.tx_state == TxState::Idle;
-        proxy.force_end.get() || self.key.is_withdrawn() || is_drained
+        let is_leaving = self.is_draining(proxy) || self.is_misplaced;
+        let may_leave = is_leaving && self.tx_state == TxState::Idle;
+        proxy.force_end.get() || self.key.is_withdrawn() || may_leave
+    }
+
+    /// Decides whether the session moves to an owner of its group.
+    fn check_placement(&mut self, proxy: &Proxy) {
+        if self.is_misplaced || self.tx_state != TxState::Idle {
+            return;
+        }
+        let group = proxy.route(&self.database).map(|(_, group)| group);
+        self.is_misplaced = group.is_some_and(|group| group.takes_leave());
     }
 
     /// Checks the caller's key against the configuration in force. An open transaction may end
@@ -132,6 +146,7 @@
         let mut idle_since = Ms::now();
         loop {
             self.check_key(proxy);
+            self.check_placement(proxy);
             if self.should_end(proxy) && link.input.is_empty() {
                 self.end(proxy, link).await;
                 return;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// The owners of a group but for this daemon.
+    pub(crate) fn other_owners(&self, group: &Group) -> Vec<Peer> {
+        self.owner_set(group).others()
+    }
+
     /// The owners of a group, computed again if the list of daemons or the configuration has changed.
     fn owner_set(&self, group: &Group) -> Rc<OwnerSet> {
         let basis = OwnerBasis {
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -41,6 +41,7 @@
 pub use hand_off::hand_off;
 pub use head::{decode_hand_off, encode_hand_off};
 pub use server::{serve, serve_with};
+pub(crate) use version::compare as is_reachable;
 
 /// Timeout for opening a connection to a daemon, including the response to `CONNECT`, or to the
 /// member behind a tunnel; also for sending a part of a configuration and for each read of one.
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -14,7 +14,7 @@
     CONFIG_PREFIX, QUOTA_PREFIX, SESSION_PREFIX, STOP_PREFIX, VERSION_HEADER, VERSION_PREFIX, head,
     read_head, version, with_peer_timeout,
 };
-use crate::{Proxy, config_push, handshake, quota};
+use crate::{Proxy, config_push, handshake, quota, rehoming};
 
 /// Longest encoded configuration.
 const MAX_CONFIG_BYTES: usize = 8 << 20;
@@ -36,6 +36,7 @@
 /// As `serve`, with `GET` requests passed on to `handler`.
 pub async fn serve_with(proxy: Rc<Proxy>, listener: TcpListener, handler: GetHandler) {
     monoio::spawn(version::compare_periodically(proxy.clone()));
+    monoio::spawn(rehoming::run(proxy.clone()));
     let handler = Rc::new(handler);
     loop {
         if let Ok((stream, _)) = listener.accept().await {
@@ -110,6 +111,12 @@
     if version > proxy.config_version.get() {
         return write_versioned_response(proxy, &mut stream, STATUS_REFUSED).await;
     }
+    // Refused also when this daemon is no owner: the sender knows others by an outdated list, and the
+    // next owner that it asks accepts.
+    let group = proxy.route(&request.database).map(|(_, group)| group);
+    if proxy.peers.is_known() && group.is_some_and(|group| !group.is_owner.get()) {
+        return write_versioned_response(proxy, &mut stream, STATUS_REFUSED).await;
+    }
     write_versioned_response(proxy, &mut stream, STATUS_OK).await?;
     handshake::serve_handed_off(proxy, BufferedStream::new(stream)?, &request).await;
     Ok(())
--- a/crates/proxy/src/tunnel/version.rs
+++ b/crates/proxy/src/tunnel/version.rs
@@ -22,18 +22,20 @@
             continue;
         }
         if let Some(peer) = fastrand::choice(proxy.peers.all()) {
-            compare(&proxy, &peer).await;
+            // A failure needs no action: the next comparison is with another daemon.
+            let _ = compare(&proxy, &peer).await;
         }
     }
 }
 
-async fn compare(proxy: &Rc<Proxy>, peer: &Peer) {
+/// Compares versions with a daemon; returns whether it has answered.
+pub(crate) async fn compare(proxy: &Rc<Proxy>, peer: &Peer) -> bool {
     let version = proxy.config_version.get();
     let target = format!("{VERSION_PREFIX}{version}.{}", proxy.settings.name);
-    // A failure needs no action: the next comparison is with another daemon.
-    if let Ok((_, Some(theirs))) | Err(PeerError::Refused(Some(theirs))) =
-        send_head(peer.addr, &encode_request(&target)).await
-    {
-        proxy.hear_version(theirs, &peer.name);
-    }
+    let answer = send_head(peer.addr, &encode_request(&target)).await;
+    let (Ok((_, Some(theirs))) | Err(PeerError::Refused(Some(theirs)))) = answer else {
+        return false;
+    };
+    proxy.hear_version(theirs, &peer.name);
+    true
 }
--- a/crates/proxy/tests/conn_replay/mod.rs
+++ b/crates/proxy/tests/conn_replay/mod.rs
@@ -113,6 +113,7 @@
             growth: (daemon.conns.len() as u64).saturating_sub(own_then as u64),
             owners: self.daemons.len() as u64,
             slots: self.slots,
+            max_opening: self.slots,
             retry_at: Ms(daemon.retry_at),
         }
     }
