A statement that crosses the end of its session is served or refused, not cut

Cause: a session that ends for a stop, or to move, was closed without looking for a statement that had arrived meanwhile, and an owner closed the connection to the daemon that had handed the session off while a statement could be on its way there. Change: before such an end a statement that is just arriving is read and served; between daemons the end is announced with an error, as for a withdrawn key, which answers what is on its way; a daemon that stops refuses further hand-offs, so that they go to the next owner. Tried and not kept: the error on callers' own connections too. The revocation tests hold unchanged.

--- a/crates/proxy/src/closing.rs
+++ b/crates/proxy/src/closing.rs
@@ -11,6 +11,16 @@
 /// system reset it, and the caller may lose the reply.
 const LINGER_MS: u64 = 250;
 
+/// Time for which a statement that is just arriving is waited for before a session ends, in ms.
+const ARRIVAL_WAIT_MS: u64 = 2;
+
+/// Reads what is just arriving.
+pub async fn read_arriving(link: &mut BufferedStream) {
+    let wait = Duration::from_millis(ARRIVAL_WAIT_MS);
+    // The result is dropped: bytes are in the input, and an error shows again on sending.
+    let _ = monoio::time::timeout(wait, link.read_more()).await;
+}
+
 /// Reads what has already arrived, without waiting.
 pub async fn read_arrived(link: &mut BufferedStream) {
     let mut read = pin!(link.read_more());
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -9,7 +9,7 @@
 use link::BufferedStream;
 use schema::Pos;
 
-use crate::closing::{close_after_reply, read_arrived};
+use crate::closing::{close_after_reply, read_arrived, read_arriving};
 use crate::exec::{StatementContext, StatementTask, run_single};
 use crate::key_check::KeyCheck;
 use crate::outcome::record_outcome;
@@ -20,6 +20,9 @@
     Statement, TxState, Verb, WireError,
 };
 
+/// Text of the error with which a session ends that its caller has not ended.
+pub const ENDED: &str = "the daemon ends this session, connect again";
+
 /// One caller's session.
 pub struct Session {
     /// VM that handed the session off to this daemon; `None` when the caller connected here.
@@ -148,8 +151,14 @@
             self.check_key(proxy);
             self.check_placement(proxy);
             if self.should_end(proxy) && link.input.is_empty() {
-                self.end(proxy, link).await;
-                return;
+                // A statement that has arrived is still served.
+                if !self.key.is_withdrawn() {
+                    read_arriving(link).await;
+                }
+                if link.input.is_empty() {
+                    self.end(proxy, link).await;
+                    return;
+                }
             }
             link.release_buffer();
             let request = match self.next_event(proxy, link, idle_since).await {
@@ -203,7 +212,7 @@
     /// Ends the session before its next statement.
     async fn end(&self, proxy: &Proxy, link: &mut BufferedStream) {
         if !self.key.is_withdrawn() {
-            return;
+            return self.send_away(proxy, link).await;
         }
         read_arrived(link).await;
         // A statement may be on its way from the daemon that handed the session off; this answers
@@ -216,11 +225,28 @@
         self.key.log_end(&self.database, self.origin.as_deref());
     }
 
+    /// Ends the session of a caller that has sent nothing further. The daemon that handed the session
+    /// off gets an error, which answers a statement that is on its way from there. A caller's own
+    /// connection is only closed: it may take an error for the answer to its next statement.
+    async fn send_away(&self, proxy: &Proxy, link: &mut BufferedStream) {
+        // In doubt, nothing may be promised about the transaction.
+        if self.tx_in_doubt || self.origin.is_none() || proxy.force_end.get() {
+            return;
+        }
+        let reply = Reply::error(ErrorKind::Busy, ENDED);
+        self.send_last(proxy, link, reply).await;
+    }
+
     /// Sends the error reply for a withdrawn key and closes the connection.
     async fn deny(&self, proxy: &Proxy, link: &mut BufferedStream) {
         self.key.log_end(&self.database, self.origin.as_deref());
-        let mut out = BytesMut::new();
         let reply = Reply::error(ErrorKind::Denied, KeyCheck::WITHDRAWN);
+        self.send_last(proxy, link, reply).await;
+    }
+
+    /// Sends an error reply, after which nothing is run, and closes the connection.
+    async fn send_last(&self, proxy: &Proxy, link: &mut BufferedStream, reply: Reply) {
+        let mut out = BytesMut::new();
         (proxy.codec.reply)(&self.with_session_state(reply), &mut out);
         // Send errors are ignored: the session ends in any case.
         let _ = link.send(&out).await;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -49,6 +49,8 @@
     pub sessions: Cell<u64>,
     /// Whether all sessions end as soon as they are between transactions.
     pub draining: Cell<bool>,
+    /// Whether the daemon has been told to stop; it takes no session from other daemons any more.
+    is_stopping: Cell<bool>,
     /// Whether all sessions end even inside transactions, unless an answer is outstanding.
     pub force_end: Cell<bool>,
     /// VMs that have announced that they are stopping, and when.
@@ -86,6 +88,7 @@
             stats: Stats::default(),
             sessions: Cell::new(0),
             draining: Cell::new(false),
+            is_stopping: Cell::new(false),
             force_end: Cell::new(false),
             stopping_vms: RefCell::default(),
             stop_signal: Signal::default(),
@@ -154,9 +157,19 @@
         members.any(|m| m.addr == addr && m.last_heard.get().elapsed() <= MAX_TUNNEL_SILENCE_MS)
     }
 
+    /// Refuses further sessions from other daemons, which hand them to another owner.
+    pub fn begin_stop(&self) {
+        self.is_stopping.set(true);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
     /// Ends all sessions once they are between transactions, including those handed off to other
     /// daemons; releases the locks of the rate limits.
     pub fn drain_sessions(&self) {
+        self.begin_stop();
         self.draining.set(true);
         self.quota.stop();
         self.stop_signal.notify();
--- a/crates/proxy/src/tunnel/exchange.rs
+++ b/crates/proxy/src/tunnel/exchange.rs
@@ -48,6 +48,11 @@
         self.due == 0 && self.state == TxState::Idle
     }
 
+    /// Whether a transaction is open that has failed.
+    pub fn is_failed(&self) -> bool {
+        self.state == TxState::Failed
+    }
+
     /// Takes all bytes that the caller has sent, to be passed to the owner.
     pub fn take_requests(&mut self, input: &mut BytesMut) -> BytesMut {
         let bytes = input.split();
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -12,7 +12,8 @@
 use super::head::encode_hand_off;
 use crate::closing::{close_after_reply, read_arrived};
 use crate::key_check::KeyCheck;
-use crate::{ErrorKind, Identity, Peer, Proxy, Reply, SessionRequest};
+use crate::session::ENDED;
+use crate::{ErrorKind, Identity, Peer, Proxy, Reply, ReplyEnd, ReplyPart, SessionRequest};
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
 const REPLY_SILENCE_MS: u64 = 100;
@@ -100,8 +101,7 @@
     /// Forwards both ways until one side closes. It also ends
     /// - once the caller's key is withdrawn, between transactions;
     /// - once `Proxy::force_end` is set and no reply is due, after `REPLY_SILENCE_MS` without bytes;
-    /// - when the owner sends what no message has asked for, which it does only to end a session
-    ///   whose key is withdrawn.
+    /// - when the owner sends what no message has asked for, which it does only to end a session.
     async fn run(
         &mut self,
         caller: &mut BufferedStream,
@@ -114,8 +114,11 @@
             let replies = self.exchange.take_replies(&mut owner.input);
             caller.send(&replies.map_err(io::Error::other)?).await?;
             self.check_key();
-            if !owner.input.is_empty() || self.is_over() {
-                return self.end(caller).await;
+            if self.is_over() || self.is_denied(&owner.input) {
+                return self.deny(caller).await;
+            }
+            if !owner.input.is_empty() {
+                return self.send_away(caller).await;
             }
             let requests = self.take_requests(caller);
             owner.send(&requests).await?;
@@ -130,7 +133,7 @@
                 bytes_read = read_if(may_read, caller) => bytes_read?,
                 bytes_read = owner.read_more() => bytes_read?,
                 () = self.proxy.stop_signal.wait_past(generation) => continue,
-                () = reply_silence(is_closing) => return Ok(()),
+                () = reply_silence(is_closing) => return self.send_away(caller).await,
             };
             if bytes_read == 0 {
                 let replies = self.exchange.take_replies(&mut owner.input);
@@ -160,17 +163,47 @@
         self.exchange.take_request(&mut caller.input)
     }
 
+    /// Whether the owner ends the session because it knows that the caller's key is withdrawn.
+    fn is_denied(&self, unasked: &BytesMut) -> bool {
+        let part = (self.proxy.codec.reply_part)(&mut unasked.clone());
+        matches!(
+            part,
+            Ok(Some(ReplyPart::End(ReplyEnd::Error(ErrorKind::Denied, _))))
+        )
+    }
+
     /// Ends the session of a withdrawn key. A statement that has arrived and was not passed on
     /// gets the error.
-    async fn end(&self, caller: &mut BufferedStream) -> io::Result<()> {
+    async fn deny(&self, caller: &mut BufferedStream) -> io::Result<()> {
         self.key.log_end(self.database, None);
         read_arrived(caller).await;
         if caller.input.is_empty() && !self.exchange.is_request_cut() {
             return Ok(());
         }
+        self.send_last(caller, ErrorKind::Denied, KeyCheck::WITHDRAWN)
+            .await
+    }
+
+    /// Ends the session. A statement that has arrived and was not passed on gets an error, since it is
+    /// not run.
+    async fn send_away(&self, caller: &mut BufferedStream) -> io::Result<()> {
+        read_arrived(caller).await;
+        let is_sent = !caller.input.is_empty() || self.exchange.is_request_cut();
+        // After a failed transaction, whose outcome may be unknown, nothing is promised.
+        if !is_sent || self.exchange.is_failed() {
+            return Ok(());
+        }
+        self.send_last(caller, ErrorKind::Busy, ENDED).await
+    }
+
+    async fn send_last(
+        &self,
+        caller: &mut BufferedStream,
+        kind: ErrorKind,
+        text: &str,
+    ) -> io::Result<()> {
         let mut out = BytesMut::new();
-        let reply = Reply::error(ErrorKind::Denied, KeyCheck::WITHDRAWN);
-        (self.proxy.codec.reply)(&reply, &mut out);
+        (self.proxy.codec.reply)(&Reply::error(kind, text), &mut out);
         caller.send(&out).await?;
         close_after_reply(caller).await;
         Ok(())
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -113,8 +113,11 @@
     }
     // Refused also when this daemon is no owner: the sender knows others by an outdated list, and the
     // next owner that it asks accepts.
+    // A daemon that stops would have to end the session again.
     let group = proxy.route(&request.database).map(|(_, group)| group);
-    if proxy.peers.is_known() && group.is_some_and(|group| !group.is_owner.get()) {
+    if proxy.is_stopping()
+        || proxy.peers.is_known() && group.is_some_and(|group| !group.is_owner.get())
+    {
         return write_versioned_response(proxy, &mut stream, STATUS_REFUSED).await;
     }
     write_versioned_response(proxy, &mut stream, STATUS_OK).await?;
