Rate limits can be divided among data centres, which lend to each other

Cause: one keeper for each shard serves all data centres. While it is cut off, the others get no grants until its lease of 8 s has ended: 600 to 900 refusals a second below the limits. Change: with the setting quota_data_centers, rendered from the platform's list of data centres, each holds an equal part of every limit under a lock of its own, and borrows what it lacks. An account over its rate is told to come back when there is another operation, not after the turns of all others. Weighed: leases shortened for keepers without contact (a store that is down for all looks the same), parts left as a reserve that a deputy uses after a silence (needs contact proofs and exclusive deputies that survive a change of keeper).

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -82,7 +82,7 @@
 pub use queue::{Rank, is_servable};
 pub use quota::{
     AccountDemand, Admission, AskerKey, Bucket, BusiestAccounts, Charge, GRANT_TTL_MS, Holding,
-    KEEPER_LEASE_MS, Keeper, KeeperLease, Limit, Quota, QuotaRules, RENEWAL_INTERVAL_MS,
+    KEEPER_LEASE_MS, Keeper, KeeperLease, Limit, Loans, Quota, QuotaRules, RENEWAL_INTERVAL_MS,
     REQUEST_INTERVAL_MS, ShardKey, Start, Ticket,
 };
 pub use quota_api::{QuotaApi, Renewal, ShardClaim, ShardLock, ShardRecord};
--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -34,7 +34,7 @@
 const REQUEST_RESERVE_BYTES: usize = 1024;
 
 /// A connection to a keeper.
-struct KeeperLink {
+pub(super) struct KeeperLink {
     addr: SocketAddr,
     link: BufferedStream,
 }
@@ -46,13 +46,13 @@
 }
 
 /// An answer of the keeper, and when its request was sent.
-struct Answered {
-    answer: QuotaAnswer,
+pub(super) struct Answered {
+    pub(super) answer: QuotaAnswer,
     sent_at: Ms,
 }
 
 /// A daemon that is asked for the keeper.
-enum Candidate {
+pub(super) enum Candidate {
     Own,
     Peer(Peer),
 }
@@ -215,6 +215,7 @@
         seq: shard.next_seq(),
         refused: Box::from(""),
         demands,
+        is_loan: false,
     };
     Prepared { request, accounts }
 }
@@ -234,16 +235,27 @@
     link: &mut Option<KeeperLink>,
     request: &QuotaRequest,
 ) -> Option<Answered> {
-    if let Some(answered) = ask_own(proxy, key, request) {
+    if let Some(answered) = ask_own(proxy, key, request).await {
         link.take();
         return Some(answered);
     }
+    ask_remote(proxy, key, candidates(proxy, key), link, request).await
+}
+
+/// Sends a request to the keeper that `link` leads to, or to the one that the candidates know.
+pub(super) async fn ask_remote(
+    proxy: &Rc<Proxy>,
+    key: ShardKey,
+    candidates: Vec<Candidate>,
+    link: &mut Option<KeeperLink>,
+    request: &QuotaRequest,
+) -> Option<Answered> {
     if let Some(known) = link.take()
         && let Lead::Answered(answered) = exchange(proxy, known, request, link).await
     {
         return Some(answered);
     }
-    for candidate in candidates(proxy, key) {
+    for candidate in candidates {
         let mut request = request.clone();
         let mut lead = ask_candidate(proxy, key, &candidate, &request, link).await;
         if let Lead::Ended(addr) = lead {
@@ -261,12 +273,33 @@
 /// own daemon asks hands over after a while, which interrupts the grants, so that another daemon is
 /// better where there is one.
 fn candidates(proxy: &Proxy, key: ShardKey) -> Vec<Candidate> {
+    let mut candidates = ranked_peers(proxy, key, |peer| is_asker(proxy, peer));
+    candidates.push(Candidate::Own);
+    candidates
+}
+
+/// Whether a daemon asks the same keepers as this one.
+fn is_asker(proxy: &Proxy, peer: &Peer) -> bool {
+    proxy.quota.rules.parts < 2 || peer.data_center == proxy.settings.data_center
+}
+
+/// Whether other daemons ask the same keepers as this one.
+pub(super) fn has_askers(proxy: &Proxy) -> bool {
+    proxy.peers.list().iter().any(|peer| is_asker(proxy, peer))
+}
+
+/// Some of the other daemons by their rank for a shard.
+pub(super) fn ranked_peers(
+    proxy: &Proxy,
+    key: ShardKey,
+    is_candidate: impl Fn(&Peer) -> bool,
+) -> Vec<Candidate> {
     let rank = |name: &str| Reverse(xxh3_64(format!("{}.{name}", key.0).as_bytes()));
     let mut peers = proxy.peers.all();
+    peers.retain(is_candidate);
     peers.sort_by_cached_key(|peer| rank(&peer.name));
     peers.truncate(MAX_CANDIDATES);
-    let peers = peers.into_iter().map(Candidate::Peer);
-    peers.chain([Candidate::Own]).collect()
+    peers.into_iter().map(Candidate::Peer).collect()
 }
 
 /// Asks a candidate, or the keeper that it names.
@@ -280,7 +313,9 @@
     let keeper = match candidate {
         Candidate::Own => match lock::find_keeper(proxy, key, &request.refused).await {
             ShardLock::Taken { .. } => {
-                return ask_own(proxy, key, request).map_or(Lead::Nothing, Lead::Answered);
+                // Boxed, since a keeper asks others for what it lacks.
+                let answered = Box::pin(ask_own(proxy, key, request)).await;
+                return answered.map_or(Lead::Nothing, Lead::Answered);
             }
             ShardLock::Held { addr, .. } => addr,
             ShardLock::Unavailable => return Lead::Nothing,
@@ -335,6 +370,7 @@
         seq: proxy.quota.shard(key).next_seq(),
         refused: Box::from(""),
         demands: Vec::new(),
+        is_loan: true,
     };
     let timeout = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
     let exchange = async {
@@ -385,9 +421,9 @@
 }
 
 /// Asks this daemon itself, if it is the keeper.
-fn ask_own(proxy: &Proxy, key: ShardKey, request: &QuotaRequest) -> Option<Answered> {
+async fn ask_own(proxy: &Rc<Proxy>, key: ShardKey, request: &QuotaRequest) -> Option<Answered> {
     let sent_at = Ms::now();
-    let grants = serving::grants(proxy, key, AskerKey::OWN, request, sent_at)?;
+    let grants = serving::grants(proxy, key, AskerKey::OWN, request).await?;
     let answer = QuotaAnswer {
         version: request.version,
         sender: request.sender.clone(),
--- a/crates/proxy/src/quota/bucket.rs
+++ b/crates/proxy/src/quota/bucket.rs
@@ -146,7 +146,7 @@
             retry_ms: if granted == wanted {
                 0
             } else {
-                self.retry_ms(f64::from(wanted), all)
+                self.retry_ms()
             },
         }
     }
@@ -164,9 +164,10 @@
         part.min(self.level).floor().max(1.0) as u32
     }
 
-    /// Time until a daemon that wants `wanted` of `all` can expect another operation, in ms.
+    /// Time until there is another operation, in ms. Which daemon gets it is decided then: telling
+    /// each to wait for its turn refuses operations that another daemon does not take.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn retry_ms(&self, wanted: f64, all: f64) -> u64 {
+    fn retry_ms(&self) -> u64 {
         if self.limit.rate == 0.0 {
             return MAX_RETRY_MS;
         }
@@ -174,7 +175,7 @@
             return REQUEST_INTERVAL_MS;
         }
         let missing = (1.0 - self.level).max(0.0);
-        let ms = missing.max(all / wanted) * 1000.0 / self.limit.rate;
+        let ms = missing * 1000.0 / self.limit.rate;
         (ms.ceil() as u64).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
     }
 }
--- a/crates/proxy/src/quota/keeper.rs
+++ b/crates/proxy/src/quota/keeper.rs
@@ -54,7 +54,8 @@
     /// configuration in force.
     pub fn answer(&mut self, demand: &AccountDemand, limit: Limit, now: Ms) -> QuotaGrant {
         let initial = self.rules.initial_level(self.start, limit);
-        let level = initial + limit.refill(now.0.saturating_sub(self.gained_at.0));
+        let refill = self.rules.part(limit);
+        let level = initial + refill.refill(now.0.saturating_sub(self.gained_at.0));
         let limit = self.rules.bucket_limit(limit);
         let bucket = self
             .buckets
--- a/crates/proxy/src/quota/lock.rs
+++ b/crates/proxy/src/quota/lock.rs
@@ -7,7 +7,7 @@
 use base::{Event, Ms, emit, sleep_ms};
 
 use super::shard::Kept;
-use super::{Keeper, KeeperLease, Quota, ShardKey, Start, asking};
+use super::{Keeper, KeeperLease, Loans, Quota, ShardKey, Start, asking};
 use crate::tunnel::PeerError;
 use crate::{Proxy, Renewal, ShardClaim, ShardLock, ShardRecord};
 
@@ -97,6 +97,7 @@
         let now = Ms::now();
         let kept = Kept {
             keeper: Keeper::new(proxy.quota.rules, *start, now),
+            loans: Loans::default(),
             lease: KeeperLease::new(*start, sent_at, now),
         };
         proxy.quota.shard(key).kept.replace(Some(kept));
@@ -147,7 +148,8 @@
             quota.shard(key).claim_from.set(now.plus(RELEASED_PAUSE_MS));
             break "the lease ran out";
         }
-        if lease.is_release_due(&quota.rules, !proxy.peers.all().is_empty(), now) {
+        let has_peers = asking::has_askers(&proxy);
+        if lease.is_release_due(&quota.rules, has_peers, now) {
             if lease.next_start(&quota.rules, true, now) != Start::First {
                 let claim_from = now.plus(RELEASED_PAUSE_MS);
                 quota.shard(key).claim_from.set(claim_from);
--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -1,12 +1,14 @@
 //! Rate limits of client accounts, across all daemons.
 //!
 //! The accounts are divided into shards. The keeper of a shard, which holds its lock in the store,
-//! hands out short-lived grants of operations to the daemons that ask. The modules `bucket`,
-//! `keeper`, `keeper_lease`, `holding`, `rules` and `busiest` decide; they do no I/O and read no
-//! clock. `charge` charges the operations of sessions, `asking` asks the keepers, `serving` answers
-//! as keeper, `lock` takes and renews the lock.
+//! hands out short-lived grants of operations to the daemons that ask. Where the limits are divided
+//! among data centres, each of them has keepers of its own. The modules `bucket`, `keeper`,
+//! `keeper_lease`, `holding`, `loans`, `rules` and `busiest` decide; they do no I/O and read no clock.
+//! `charge` charges the operations of sessions, `asking` asks the keepers, `serving` answers as
+//! keeper, `borrowing` asks those of other data centres, `lock` takes and renews the lock.
 
 mod asking;
+mod borrowing;
 mod bucket;
 mod busiest;
 mod charge;
@@ -15,6 +17,7 @@
 mod keeper;
 mod keeper_lease;
 mod limit;
+mod loans;
 mod lock;
 mod rules;
 mod serving;
@@ -29,6 +32,8 @@
 pub use keeper::{AccountDemand, Keeper, Start};
 pub use keeper_lease::{KEEPER_LEASE_MS, KeeperLease, RENEWAL_INTERVAL_MS};
 pub use limit::Limit;
+pub use loans::Loans;
+use loans::SHORTAGE_PAUSE_MS;
 pub use rules::QuotaRules;
 pub(crate) use serving::serve;
 pub(crate) use shard::Shard;
--- a/crates/proxy/src/quota/rules.rs
+++ b/crates/proxy/src/quota/rules.rs
@@ -11,6 +11,10 @@
 /// a second and a burst as large lost 14 % of a demand of 0.6 of that in the simulation.
 const MAX_HEADROOM: f64 = 2.0;
 
+/// Share of the tolerance by which the buckets of an account are larger where its limit is divided; the
+/// rest is for keepers that begin.
+const DIVIDED_HEADROOM: f64 = 0.75;
+
 /// How far the limits are binding.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaRules {
@@ -20,6 +24,9 @@
     pub overage: f64,
     /// Operations that a window may hold beyond that share.
     pub slack: f64,
+    /// Number of data centres that each hold an equal part of every limit; 1 if one keeper serves
+    /// all. At least 1.
+    pub parts: u32,
 }
 
 impl QuotaRules {
@@ -38,17 +45,44 @@
         (self.slack - f64::from(FALLBACK_RESERVE)).max(0.0)
     }
 
-    /// The limit of the bucket of an account.
+    /// The part of a limit that a keeper hands out.
+    pub fn part(&self, limit: Limit) -> Limit {
+        let parts = f64::from(self.parts);
+        Limit {
+            rate: limit.rate / parts,
+            burst: limit.burst / parts,
+        }
+    }
+
+    /// The limit of a keeper's bucket of an account.
     pub fn bucket_limit(&self, limit: Limit) -> Limit {
+        let part = self.part(limit);
         if limit.rate == 0.0 {
-            return limit;
+            return part;
         }
         Limit {
-            rate: limit.rate,
-            burst: limit.burst + self.free_slack().min(MAX_HEADROOM),
+            rate: part.rate,
+            burst: part.burst + self.headroom(limit) / f64::from(self.parts),
         }
     }
 
+    /// Operations by which all buckets of an account together are larger than its burst.
+    fn headroom(&self, limit: Limit) -> f64 {
+        if self.parts == 1 {
+            return self.free_slack().min(MAX_HEADROOM);
+        }
+        // Operations that come at one data centre find a part of the burst only, and the rest with
+        // delay.
+        self.tolerance(limit) * DIVIDED_HEADROOM
+    }
+
+    /// Operations beyond the rate and the burst that keepers may hand out in a window.
+    fn tolerance(&self, limit: Limit) -> f64 {
+        // No bucket holds less than one operation, so that the smallest parts exceed theirs.
+        let rounding = f64::from(self.parts - 1);
+        self.overage * self.nominal(limit) + (self.free_slack() - rounding).max(0.0)
+    }
+
     /// Level of a bucket when its keeper begins. What the former keeper has handed out within the
     /// window is not known, so that a new one may give out the tolerance only, and only one of
     /// those that begin within a window.
@@ -58,8 +92,8 @@
             Start::First => capacity,
             Start::SuccessorInWindow => 0.0,
             Start::Successor => {
-                let slack = (self.free_slack() - MAX_HEADROOM).max(0.0);
-                self.overage * self.nominal(limit) + slack
+                let level = self.tolerance(limit) - self.headroom(limit);
+                level.max(0.0) / f64::from(self.parts)
             }
         };
         level.min(capacity)
--- a/crates/proxy/src/quota/serving.rs
+++ b/crates/proxy/src/quota/serving.rs
@@ -10,7 +10,7 @@
 
 use super::frame::{read_frame, send_frame};
 use super::shard::Kept;
-use super::{AccountDemand, AskerKey, REQUEST_INTERVAL_MS, ShardKey, lock};
+use super::{AccountDemand, AskerKey, REQUEST_INTERVAL_MS, ShardKey, borrowing, lock};
 use crate::{Proxy, ShardLock};
 
 /// Time without a request after which a connection is closed; longer than that after which the other
@@ -57,10 +57,10 @@
     request: &QuotaRequest,
 ) -> QuotaAnswer {
     let mut keeper = Box::from("");
-    let mut granted = grants(proxy, key, asker, request, Ms::now());
+    let mut granted = grants(proxy, key, asker, request).await;
     if granted.is_none() {
         match lock::find_keeper(proxy, key, &request.refused).await {
-            ShardLock::Taken { .. } => granted = grants(proxy, key, asker, request, Ms::now()),
+            ShardLock::Taken { .. } => granted = grants(proxy, key, asker, request).await,
             ShardLock::Held { addr, .. } => keeper = addr,
             ShardLock::Unavailable => {}
         }
@@ -75,8 +75,23 @@
     }
 }
 
-/// What the keeper grants for a request; `None` if this daemon is not the keeper.
-pub fn grants(
+/// What the keeper grants for a request, from its own part and from those of other data centres;
+/// `None` if this daemon is not the keeper.
+pub(super) async fn grants(
+    proxy: &Rc<Proxy>,
+    key: ShardKey,
+    asker: AskerKey,
+    request: &QuotaRequest,
+) -> Option<Vec<QuotaGrant>> {
+    let mut grants = own_grants(proxy, key, asker, request, Ms::now())?;
+    // A loan is given from the own part only, so that data centres do not ask each other in turn.
+    if !request.is_loan {
+        borrowing::top_up(proxy, key, &request.demands, &mut grants).await;
+    }
+    Some(grants)
+}
+
+fn own_grants(
     proxy: &Proxy,
     key: ShardKey,
     asker: AskerKey,
--- a/crates/proxy/src/quota/shard.rs
+++ b/crates/proxy/src/quota/shard.rs
@@ -6,12 +6,14 @@
 
 use base::{Ms, Signal};
 
-use super::{Holding, Keeper, KeeperLease};
+use super::borrowing::Lenders;
+use super::{Holding, Keeper, KeeperLease, Loans};
 use crate::{AccountKey, ShardLock};
 
 /// The shard as its keeper.
 pub(crate) struct Kept {
     pub keeper: Keeper,
+    pub loans: Loans,
     pub lease: KeeperLease,
 }
 
@@ -34,6 +36,8 @@
     pub keeper: Cell<Option<SocketAddr>>,
     /// Number of the last request.
     pub last_seq: Cell<u64>,
+    /// The keepers of the other data centres.
+    pub lenders: Lenders,
     /// Set while this daemon holds the lock.
     pub kept: RefCell<Option<Kept>>,
     /// Whether an attempt to take the lock is in progress.
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -12,6 +12,7 @@
     window_ms: 5000,
     overage: 0.1,
     slack: 20.0,
+    parts: 1,
 };
 const A: AskerKey = AskerKey(1);
 const B: AskerKey = AskerKey(2);
--- a/crates/proxy/tests/quota_simulation.rs
+++ b/crates/proxy/tests/quota_simulation.rs
@@ -14,18 +14,22 @@
 use property::check_property;
 use proxy::{
     AccountDemand, AccountKey, Admission, AskerKey, GRANT_TTL_MS, Holding, KEEPER_LEASE_MS, Keeper,
-    KeeperLease, Limit, QuotaRules, REQUEST_INTERVAL_MS, Start, Ticket,
+    KeeperLease, Limit, Loans, QuotaRules, REQUEST_INTERVAL_MS, Start, Ticket,
 };
 use schema::{QuotaGrant, QuotaReport};
 
+/// Rules without a division among data centres; `Script::rules` are those of a run.
 const RULES: QuotaRules = QuotaRules {
     window_ms: 5000,
     overage: 0.1,
     slack: 20.0,
+    parts: 1,
 };
 const ACCOUNT: AccountKey = AccountKey(0);
 /// Groups of the configuration.
 const GROUPS: usize = 8;
+/// Number of data centres over which the daemons are spread.
+const ZONES: usize = 3;
 const STEP_MS: u64 = 10;
 const DURATION_MS: u64 = 30_000;
 /// After that, the first keeper has been found.
@@ -47,6 +51,8 @@
     FullStart,
     /// The expiry is checked on admission only.
     AdmissionOnly,
+    /// What a data centre lends is not taken from its own part.
+    FreeLoans,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +63,8 @@
     CutTo,
     CutBoth,
     CutFromStore,
+    /// The data centre of the daemon is cut off from the others and from the store.
+    CutCenter,
     /// The store answers no daemon.
     StoreDown,
     /// Members take no statements of any daemon, so that those that were admitted wait.
@@ -91,6 +99,8 @@
     /// Whether one in 16 messages is late.
     has_late_messages: bool,
     faults: Vec<Fault>,
+    /// Number of data centres that each hold a part of the limit, or 1 if one keeper serves all.
+    centers: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -147,6 +157,7 @@
     /// Arrivals of the operations that wait for a grant.
     waiting: Vec<u64>,
     kept: Option<(Keeper, KeeperLease)>,
+    loans: Loans,
     next_renewal: u64,
     next_interval: u64,
     pending: Option<Pending>,
@@ -179,6 +190,9 @@
     settled_offered: u64,
     settled_refused: u64,
     keepers: u64,
+    /// Operations offered and refused in data centres that are not cut off while another one is.
+    offered_in_cut: u64,
+    refused_in_cut: u64,
     /// From when on a changed limit binds.
     limits: Vec<(u64, Limit)>,
 }
@@ -189,7 +203,8 @@
     rng: Rng,
     now: u64,
     daemons: Vec<Daemon>,
-    lock: Lock,
+    /// The lock of each data centre.
+    locks: Vec<Lock>,
     network: VecDeque<Message>,
     last_process: u64,
     outcome: Outcome,
@@ -211,7 +226,20 @@
         self.fault_at(now, daemon, |k| matches!(k, FaultKind::Kill))
     }
 
+    /// Whether the data centre of a daemon is cut off.
+    fn is_center_cut(&self, now: u64, daemon: usize) -> bool {
+        let mut active = self.faults.iter().filter(|f| f.at <= now && now < f.until);
+        active.any(|f| {
+            matches!(f.kind, FaultKind::CutCenter) && self.zone(f.daemon) == self.zone(daemon)
+        })
+    }
+
     fn passes(&self, now: u64, from: usize, to: usize) -> bool {
+        let is_crossing = self.zone(from) != self.zone(to)
+            && (self.is_center_cut(now, from) || self.is_center_cut(now, to));
+        if is_crossing {
+            return false;
+        }
         let out = |k| matches!(k, FaultKind::CutFrom | FaultKind::CutBoth);
         let into = |k| matches!(k, FaultKind::CutTo | FaultKind::CutBoth);
         from == to || !self.fault_at(now, from, out) && !self.fault_at(now, to, into)
@@ -219,6 +247,7 @@
 
     fn reaches_store(&self, now: u64, daemon: usize) -> bool {
         !self.fault_at(now, daemon, |k| matches!(k, FaultKind::CutFromStore))
+            && !self.is_center_cut(now, daemon)
             && !self.is_active(now, |k| matches!(k, FaultKind::StoreDown))
     }
 
@@ -233,6 +262,35 @@
         self.pulse_ms == 0 || now / self.pulse_ms % 2 == 1
     }
 
+    fn rules(&self) -> QuotaRules {
+        QuotaRules {
+            parts: u32::try_from(self.centers).expect("a small number"),
+            ..RULES
+        }
+    }
+
+    /// The daemon of the same data centre that is asked after this one.
+    fn next_in_center(&self, daemon: usize) -> usize {
+        // With one part, all data centres share a keeper.
+        let step = if self.centers == 1 { 1 } else { ZONES };
+        let next = daemon + step;
+        if next < self.daemons {
+            next
+        } else {
+            self.center(daemon)
+        }
+    }
+
+    /// The data centre of a daemon among those that hold a part.
+    fn center(&self, daemon: usize) -> usize {
+        self.zone(daemon) % self.centers
+    }
+
+    /// The data centre of a daemon.
+    fn zone(&self, daemon: usize) -> usize {
+        daemon % ZONES
+    }
+
     fn share(&self, daemon: usize) -> f64 {
         self.weights[daemon] / self.weights.iter().sum::<f64>()
     }
@@ -246,7 +304,7 @@
             rng: Rng::with_seed(script.seed),
             now: 0,
             daemons: Vec::new(),
-            lock: Lock::default(),
+            locks: (0..script.centers).map(|_| Lock::default()).collect(),
             network: VecDeque::new(),
             last_process: 0,
             outcome: Outcome::default(),
@@ -254,8 +312,9 @@
         };
         world.outcome.limits.push((0, script.limit));
         world.plan_limits();
-        for _ in 0..script.daemons {
-            let daemon = world.new_daemon(script.limit);
+        for d in 0..script.daemons {
+            let mut daemon = world.new_daemon(script.limit);
+            daemon.target = script.center(d);
             world.daemons.push(daemon);
         }
         world
@@ -294,6 +353,7 @@
             ops: Vec::new(),
             waiting: Vec::new(),
             kept: None,
+            loans: Loans::default(),
             next_renewal: 0,
             next_interval: self.now + self.rng.u64(0..REQUEST_INTERVAL_MS),
             pending: None,
@@ -413,7 +473,7 @@
         let (limit, process) = (self.daemons[d].limit, self.daemons[d].process);
         let is_keeper = self.is_keeper(d);
         let Some((keeper, lease)) = self.daemons[d].kept.as_mut().filter(|_| is_keeper) else {
-            let keeper = self.lock.holder.map(|h| h.0);
+            let keeper = self.locks[self.script.center(d)].holder.map(|h| h.0);
             let known = self.script.reaches_store(self.now, d) && keeper != Some(d);
             return Body::NotKeeper {
                 seq,
@@ -428,10 +488,58 @@
             wanted,
             reports,
         };
-        let grant = keeper.answer(&demand, limit, now);
+        let mut grant = keeper.answer(&demand, limit, now);
+        if self.script.centers > 1 {
+            self.borrow(d, wanted, &mut grant);
+        }
         Body::Grant { seq, grant }
     }
 
+    /// Adds to a grant what the keepers of other data centres lend.
+    fn borrow(&mut self, d: usize, wanted: u32, grant: &mut QuotaGrant) {
+        let now = Ms(self.now);
+        if grant.granted >= wanted || !self.daemons[d].loans.may_borrow(ACCOUNT, now) {
+            return;
+        }
+        for lender in 0..self.daemons.len() {
+            let is_other = self.script.center(lender) != self.script.center(d);
+            let is_awake = self.daemons[lender].alive && !self.script.is_frozen(self.now, lender);
+            let passes = self.script.passes(self.now, d, lender);
+            if !is_other || !is_awake || !passes || !self.is_keeper(lender) {
+                continue;
+            }
+            let limit = self.daemons[lender].limit;
+            let asker = self.daemons[d].process;
+            self.daemons[d].last_seq += 1;
+            let seq = self.daemons[d].last_seq;
+            let Some((keeper, _)) = self.daemons[lender].kept.as_mut() else {
+                continue;
+            };
+            let demand = AccountDemand {
+                asker,
+                seq,
+                account: ACCOUNT,
+                wanted: wanted - grant.granted,
+                reports: &[],
+            };
+            let lent = if self.variant == Variant::FreeLoans {
+                demand.wanted
+            } else {
+                keeper.answer(&demand, limit, now).granted
+            };
+            let is_lost = self.rng.f64() < self.script.loss;
+            if !is_lost && self.script.passes(self.now, lender, d) {
+                grant.granted += lent;
+            }
+            if grant.granted == wanted {
+                grant.retry_ms = 0;
+                return;
+            }
+        }
+        self.daemons[d].loans.record_shortage(ACCOUNT, now);
+        grant.retry_ms = grant.retry_ms.min(100);
+    }
+
     fn is_keeper(&self, d: usize) -> bool {
         let kept = self.daemons[d].kept.as_ref();
         kept.is_some_and(|(_, lease)| lease.is_valid(Ms(self.now)))
@@ -446,29 +554,30 @@
         if self.daemons[d].kept.is_some() {
             return;
         }
-        let holder = self.lock.holder;
+        let c = self.script.center(d);
+        let holder = self.locks[c].holder;
         let is_gone = |h: usize| gone == Some(h) && !self.daemons[h].alive;
         let observed = self.daemons[d].observed;
         let is_silent = observed.is_some_and(|(revision, since)| {
-            revision == self.lock.revision && now - since >= KEEPER_LEASE_MS
+            revision == self.locks[c].revision && now - since >= KEEPER_LEASE_MS
         });
         let is_free =
-            self.lock.done || is_silent || holder.is_none_or(|h| h.0 == d || is_gone(h.0));
+            self.locks[c].done || is_silent || holder.is_none_or(|h| h.0 == d || is_gone(h.0));
         if !is_free {
-            if observed.is_none_or(|o| o.0 != self.lock.revision) {
-                self.daemons[d].observed = Some((self.lock.revision, now));
+            if observed.is_none_or(|o| o.0 != self.locks[c].revision) {
+                self.daemons[d].observed = Some((self.locks[c].revision, now));
             }
             return;
         }
         let start = match holder {
             None => Start::First,
             Some(_) if self.variant == Variant::FullStart => Start::First,
-            Some(_) => self.lock.next.unwrap_or(Start::SuccessorInWindow),
+            Some(_) => self.locks[c].next.unwrap_or(Start::SuccessorInWindow),
         };
-        self.lock.holder = Some((d, self.daemons[d].process));
-        self.lock.revision += 1;
-        self.lock.done = false;
-        self.lock.next = Some(match start {
+        self.locks[c].holder = Some((d, self.daemons[d].process));
+        self.locks[c].revision += 1;
+        self.locks[c].done = false;
+        self.locks[c].next = Some(match start {
             Start::First => Start::Successor,
             Start::Successor | Start::SuccessorInWindow => Start::SuccessorInWindow,
         });
@@ -478,7 +587,7 @@
         }
         self.outcome.keepers += 1;
         let lease = KeeperLease::new(start, Ms(now), Ms(now));
-        self.daemons[d].kept = Some((Keeper::new(RULES, start, Ms(now)), lease));
+        self.daemons[d].kept = Some((Keeper::new(self.script.rules(), start, Ms(now)), lease));
         self.daemons[d].next_renewal = now;
     }
 
@@ -493,18 +602,19 @@
             self.daemons[d].kept = None;
             return;
         }
-        let holds = self.lock.holder == Some((d, self.daemons[d].process));
+        let c = self.script.center(d);
+        let holds = self.locks[c].holder == Some((d, self.daemons[d].process));
         let reaches = self.script.reaches_store(self.now, d);
-        if lease.is_release_due(&RULES, self.daemons.len() > 1, now) {
+        if lease.is_release_due(&RULES, self.daemons.len() > self.script.centers, now) {
             self.daemons[d].kept = None;
             let next = lease.next_start(&RULES, true, now);
             if next != Start::First {
                 self.daemons[d].claim_from = self.now + 2000;
             }
             if reaches && holds {
-                self.lock.done = true;
-                self.lock.next = Some(next);
-                self.lock.revision += 1;
+                self.locks[c].done = true;
+                self.locks[c].next = Some(next);
+                self.locks[c].revision += 1;
             }
             return;
         }
@@ -515,8 +625,8 @@
             self.daemons[d].kept = None;
             return;
         }
-        self.lock.revision += 1;
-        self.lock.next = Some(lease.next_start(&RULES, false, now));
+        self.locks[c].revision += 1;
+        self.locks[c].next = Some(lease.next_start(&RULES, false, now));
         if let Some((_, lease)) = self.daemons[d].kept.as_mut() {
             lease.renew(now);
         }
@@ -545,7 +655,7 @@
         let daemon = &mut self.daemons[d];
         daemon.pending = None;
         daemon.ask_from = self.now + RETRY_DELAY_MS;
-        daemon.target = (daemon.target + 1) % self.script.daemons;
+        daemon.target = self.script.next_in_center(daemon.target);
     }
 
     fn step(&mut self, d: usize) {
@@ -561,6 +671,7 @@
             let version = self.daemons[d].version;
             self.daemons[d] = self.new_daemon(self.daemons[d].limit);
             self.daemons[d].version = version;
+            self.daemons[d].target = self.script.center(d);
         }
         if self.script.is_frozen(now, d) {
             return;
@@ -599,7 +710,7 @@
         if !self.daemons[to].alive && self.script.passes(now, d, to) {
             // The connection is refused.
             self.daemons[d].gone = Some(to);
-            self.daemons[d].target = (to + 1) % self.script.daemons;
+            self.daemons[d].target = self.script.next_in_center(to);
             return;
         }
         let daemon = &mut self.daemons[d];
@@ -630,6 +741,7 @@
             self.daemons[d].due -= 1.0;
             self.outcome.offered += 1;
             self.outcome.settled_offered += u64::from(self.now >= SETTLED_MS);
+            self.outcome.offered_in_cut += u64::from(self.is_beside_cut(d));
             if self.variant == Variant::FixedShares {
                 self.admit_by_share(d);
                 continue;
@@ -637,7 +749,7 @@
             let now = Ms(self.now);
             match self.daemons[d].holding.arrive(now) {
                 Admission::Admitted(ticket) => self.begin(d, ticket),
-                Admission::Refused { .. } => self.refuse(),
+                Admission::Refused { .. } => self.refuse(d),
                 Admission::Unknown => {
                     self.daemons[d].holding.add_waiting();
                     self.daemons[d].waiting.push(self.now);
@@ -666,7 +778,7 @@
             reports: &[],
         };
         if keeper.answer(&demand, limit, now).granted == 0 {
-            self.refuse();
+            self.refuse(d);
             return;
         }
         self.outcome.runs.push(self.now);
@@ -700,12 +812,19 @@
             daemon.holding.remove_waiting();
             match ticket {
                 Some(ticket) => self.begin(d, ticket),
-                None => self.refuse(),
+                None => self.refuse(d),
             }
         }
     }
 
-    fn refuse(&mut self) {
+    /// Whether a daemon's data centre is not cut off, but another one is.
+    fn is_beside_cut(&self, d: usize) -> bool {
+        let is_cut = |d| self.script.is_center_cut(self.now, d);
+        !is_cut(d) && (0..self.script.daemons).any(is_cut)
+    }
+
+    fn refuse(&mut self, d: usize) {
+        self.outcome.refused_in_cut += u64::from(self.is_beside_cut(d));
         self.outcome.refused += 1;
         self.outcome.settled_refused += u64::from(self.now >= SETTLED_MS);
     }
@@ -738,7 +857,7 @@
                 if checks && !op.ticket.is_valid(Ms(now)) {
                     daemon.holding.give_back(op.ticket);
                     let Some(fresh) = daemon.holding.take(Ms(now)) else {
-                        self.refuse();
+                        self.refuse(d);
                         continue;
                     };
                     op.ticket = fresh;
@@ -810,7 +929,7 @@
 /// A random script with these faults.
 fn script(seed: u64, faults: &[(u16, u8, u8, u16)]) -> Script {
     let mut rng = Rng::with_seed(seed);
-    let daemons = rng.usize(2..=8);
+    let daemons = rng.usize(2..=9);
     let rate = [5.0, 40.0, 200.0][rng.usize(0..3)];
     let burst = rate * [0.5, 1.0, 2.0][rng.usize(0..3)];
     let kinds = [
@@ -822,6 +941,7 @@
         FaultKind::CutTo,
         FaultKind::CutBoth,
         FaultKind::CutFromStore,
+        FaultKind::CutCenter,
         FaultKind::StoreDown,
         FaultKind::Stall,
         FaultKind::LowerLimit,
@@ -853,6 +973,7 @@
         max_wait_ms: [0, 300, 1500][rng.usize(0..3)],
         has_late_messages: rng.bool(),
         faults,
+        centers: [1, ZONES][rng.usize(0..2)],
     }
 }
 
@@ -891,6 +1012,7 @@
         pulse_ms: 0,
         max_wait_ms: 0,
         has_late_messages: false,
+        centers: 1,
         ..script(seed, &[])
     }
 }
@@ -957,6 +1079,12 @@
     assert!(broken_by(Variant::AdmissionOnly, random_script) > 0);
 }
 
+/// Guards against a simulation that cannot tell loans that the lender does not count.
+#[test]
+fn loans_that_are_not_counted_break_the_bound() {
+    assert!(broken_by(Variant::FreeLoans, random_script) > 0);
+}
+
 /// Guards against a new keeper that begins with a full bucket, at once.
 #[test]
 fn a_new_keeper_with_a_full_bucket_breaks_the_bound() {
@@ -993,3 +1121,58 @@
         assert!(runs >= wanted, "{runs} of {wanted} at a rate of {rate}");
     }
 }
+
+/// An account at 0.6 of its limit, spread over 9 daemons in three data centres, the first of which is
+/// cut off for 6 s.
+fn cut_script(seed: u64, rate: f64, centers: usize) -> Script {
+    let cut = Fault {
+        at: 10_000,
+        until: 16_000,
+        daemon: 0,
+        kind: FaultKind::CutCenter,
+    };
+    Script {
+        daemons: 9,
+        weights: (0..9).map(|d| f64::from(d % 4 + 1)).collect(),
+        faults: vec![cut],
+        centers,
+        ..uneven_script(seed, rate)
+    }
+}
+
+/// Guards against a data centre that is cut off with the keeper: the accounts of the others were
+/// refused below their limit until its lease ended.
+#[test]
+fn other_data_centers_go_on_while_one_is_cut_off() {
+    for rate in [8.0, 40.0, 200.0, 1000.0] {
+        let refused = |centers| {
+            let outcomes =
+                (0..8).map(|seed| replay(&cut_script(seed, rate, centers), Variant::Sound));
+            let sums = outcomes.fold((0, 0), |sums, o| {
+                (sums.0 + o.refused_in_cut, sums.1 + o.offered_in_cut)
+            });
+            sums.0 as f64 / f64::max(sums.1 as f64, 1.0)
+        };
+        let (whole, divided) = (refused(1), refused(ZONES));
+        println!("rate {rate}: {whole:.3} refused with one keeper, {divided:.3} with three");
+        assert!(divided < 0.02, "{divided} refused at a rate of {rate}");
+        assert!(
+            whole > 0.2,
+            "only {whole} refused with one keeper at {rate}"
+        );
+    }
+}
+
+/// Guards against a divided limit that serves less than a whole one while nothing fails.
+#[test]
+fn a_divided_limit_serves_uneven_demand() {
+    for (seed, rate) in [(1, 10.0), (1, 40.0), (2, 200.0), (3, 1000.0)] {
+        let script = Script {
+            centers: ZONES,
+            ..uneven_script(seed, rate)
+        };
+        let divided = loss(&replay(&script, Variant::Sound));
+        println!("rate {rate}: {divided:.4} lost");
+        assert!(divided < 0.02, "{divided} lost at a rate of {rate}");
+    }
+}
--- a/crates/schema/src/load.rs
+++ b/crates/schema/src/load.rs
@@ -154,6 +154,18 @@
         if !is_amount(self.quota_slack) {
             out.push(ValidationError::new("quota_slack", "expected 0 or more"));
         }
+        let centers = self.quota_data_centers.as_deref();
+        let centers = centers.filter(|list| !list.trim().is_empty());
+        let is_listed = |list: &str| {
+            list.split_whitespace()
+                .any(|name| name == &*self.data_center)
+        };
+        if centers.is_some_and(|list| !is_listed(list)) {
+            out.push(ValidationError::new(
+                "quota_data_centers",
+                "expected the data centre of this VM among them",
+            ));
+        }
     }
 }
 
--- a/crates/schema/tests/gateway.rs
+++ b/crates/schema/tests/gateway.rs
@@ -65,6 +65,27 @@
     assert_eq!(bounds(&settings).map(|n| n.to_string()), ["2.5", "0", "30"]);
 }
 
+/// Guards against rate limits that are divided on some VMs only, or among data centres to which this
+/// VM does not belong.
+#[test]
+fn the_data_centers_of_rate_limits_include_the_own_one() {
+    let settings = load("undivided", &[]).expect("valid");
+    assert_eq!(settings.quota_data_centers.as_deref(), Some(""));
+    let file = format!("hollyreach-gateway-{}-centers.yaml", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    for (centers, is_valid) in [("z0 z1 z2", true), ("z1 z2", false)] {
+        let rendered = render(&[&VALUES[..], &[("heartbeat_ms", "1200")]].concat());
+        let with_centers = rendered.replace(
+            "quota_data_centers: \"\"",
+            &format!("quota_data_centers: \"{centers}\""),
+        );
+        std::fs::write(&path, with_centers).expect("the temporary file can be written");
+        let result = load_gateway(&path.display().to_string());
+        assert_eq!(result.is_ok(), is_valid, "{centers}");
+    }
+    std::fs::remove_file(&path).expect("the temporary file can be removed");
+}
+
 /// Guards against a window of no length, in which no operation may run, and a negative tolerance.
 #[test]
 fn impossible_bounds_are_refused() {
