The daemon that changes a primary keeps its lease on the new one

Cause: where control connections are separate, a change of primary took the connection over which the replicas are probed. The probes went on over new ones, whose results are not linked to the former; with the old primary cut off no new lease can be established, so that this daemon, an owner, refused all writes until the cut ended (8 s after the change had succeeded in 1.3 s), while the other owner served. Change: the fence opens connections of its own; a lease follows the results over two connections, so that those over the newer one do not end what those over the older one prove. Test: a_result_over_a_newer_connection_keeps_the_link, which failed before. lease_simulation and join_simulation hold.

--- a/crates/proxy/src/failover/control.rs
+++ b/crates/proxy/src/failover/control.rs
@@ -21,6 +21,18 @@
     }
 }
 
+/// As `open_control_conn`, for the fence, which holds the connection until the change has ended: the
+/// one that the health check uses is left to it where there may be another. Its results then stay
+/// linked, so that this daemon has a lease on the new primary although the old one does not answer.
+async fn open_fence_conn(group: &Group, member: &Rc<Member>) -> Result<Conn, ConnError> {
+    if group.may_add_control_conn(member)
+        && let Ok(conn) = group.connect(member).await
+    {
+        return Ok(conn);
+    }
+    open_control_conn(group, member).await
+}
+
 /// Sends one control command to a member and returns its status.
 ///
 /// # Errors
@@ -53,7 +65,7 @@
 ) -> Result<(Conn, Status, FenceReport), ConnError> {
     let mut conn = match conn {
         Some(conn) => conn,
-        None => open_control_conn(&group, &member).await?,
+        None => open_fence_conn(&group, &member).await?,
     };
     let fence = Command::Fence { term };
     let command = if fenced { &Command::Status } else { &fence };
--- a/crates/proxy/src/group/control_conns.rs
+++ b/crates/proxy/src/group/control_conns.rs
@@ -60,6 +60,16 @@
         control().count() < MAX_CONTROL_CONNS && control().all(|c| c.state == ConnState::Held)
     }
 
+    /// Whether a further connection for control commands may be opened beside those that are open.
+    pub(crate) fn may_add_control_conn(&self, member: &Member) -> bool {
+        if !self.accounts.in_force() {
+            return false;
+        }
+        let conns = member.conns.borrow();
+        let control = conns.iter().filter(|c| c.purpose == Purpose::Control);
+        control.count() < MAX_CONTROL_CONNS
+    }
+
     /// Closes idle control connections but for the one opened first, to whose results later ones are
     /// linked.
     pub(super) fn trim_control_conns(&self, member: &Member) {
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -40,6 +40,9 @@
 const MAX_LINK_GAP_MS: u64 = FENCE_DURATION_MS - CLOCK_DRIFT_MS;
 const _: () = assert!(LEASE_DURATION_MS + CLOCK_DRIFT_MS <= FENCE_DURATION_MS);
 
+/// Number of connections to one replica whose results are followed.
+const MAX_PROOFS: usize = 2;
+
 /// Age at which a replica's probe result is renewed, in ms; well below `MAX_LINK_GAP_MS`.
 const RENEWAL_INTERVAL_MS: u64 = 550;
 /// Renewal interval while not all replicas have linked probe results, in ms: the lease then depends
@@ -105,7 +108,10 @@
     term: u64,
     /// Instant until which the primary may be used.
     until: Ms,
-    proofs: BTreeMap<MemberKey, Proof>,
+    /// What the probe results of each replica prove, the latest first. A daemon may probe a member
+    /// over two connections, as while it changes the primary: the results over the newer one are not
+    /// linked to those over the older one, and do not end what these prove.
+    proofs: BTreeMap<MemberKey, Vec<Proof>>,
 }
 
 impl Lease {
@@ -118,10 +124,8 @@
     /// loss of any one of them.
     pub fn is_redundant(&self, replicas: &[MemberKey], now: Ms) -> bool {
         replicas.iter().all(|key| {
-            let proof = self.proofs.get(key);
-            proof.is_some_and(|p| {
-                p.max_term.is_some() && p.latest.sent_at.plus(MAX_LINK_GAP_MS) > now
-            })
+            let mut proofs = self.proofs.get(key).into_iter().flatten();
+            proofs.any(|p| p.max_term.is_some() && p.latest.sent_at.plus(MAX_LINK_GAP_MS) > now)
         })
     }
 
@@ -132,8 +136,12 @@
             self.term = result.term;
             self.until = Ms(0);
         }
-        let previous = self.proofs.get(&key);
-        let linked = previous.filter(|proof| result.is_linked_to(&proof.latest));
+        let proofs = self.proofs.entry(key).or_default();
+        let linked = (0..proofs.len()).filter(|i| result.is_linked_to(&proofs[*i].latest));
+        // Of several, one that knows which changes may have taken effect.
+        let linked = linked.min_by_key(|i| proofs[*i].max_term.is_none());
+        let linked = linked.map(|at| proofs.remove(at));
+        let linked = linked.as_ref();
         let max_term = linked.and_then(|proof| proof.max_term);
         let max_term = max_term.map(|term| term.max(result.term).max(result.fenced));
         let unchanged =
@@ -143,16 +151,22 @@
             unchanged_since: unchanged.map_or(result.received_at, |proof| proof.unchanged_since),
             max_term,
         };
-        self.proofs.insert(key, proof);
+        proofs.insert(0, proof);
+        proofs.truncate(MAX_PROOFS);
         if max_term.is_none() {
             self.establish(replicas);
         }
         self.extend(key);
     }
 
+    /// The proof to which a replica's latest probe result belongs.
+    fn latest(&self, key: MemberKey) -> Option<Proof> {
+        self.proofs.get(&key)?.first().copied()
+    }
+
     /// Extends the lease by what a replica's latest probe result proves.
     fn extend(&mut self, key: MemberKey) {
-        let Some(proof) = self.proofs.get(&key) else {
+        let Some(proof) = self.latest(key) else {
             return;
         };
         if proof.latest.is_unfenced_replica()
@@ -167,7 +181,7 @@
     fn establish(&mut self, replicas: &[MemberKey]) {
         let proofs: Vec<Proof> = replicas
             .iter()
-            .filter_map(|key| self.proofs.get(key).copied())
+            .filter_map(|key| self.latest(*key))
             .filter(|proof| proof.latest.is_unfenced_replica() && proof.latest.term == self.term)
             .collect();
         if replicas.is_empty() || proofs.len() < replicas.len() {
@@ -182,7 +196,8 @@
             return;
         }
         for key in replicas {
-            if let Some(proof) = self.proofs.get_mut(key) {
+            let proofs = self.proofs.get_mut(key);
+            if let Some(proof) = proofs.and_then(|proofs| proofs.first_mut()) {
                 proof.max_term = Some(self.term);
             }
             self.extend(*key);
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -110,6 +110,15 @@
     check_lease_after_two_rounds(&[(1, late)], 1, 1010);
 }
 
+/// Guards against a lease that ends because a replica was also asked over a newer connection, as by the
+/// daemon that changes the primary: while the old primary is cut off, no new lease can be established.
+#[test]
+fn a_result_over_a_newer_connection_keeps_the_link() {
+    let mut newer = probe(600, 1, 0);
+    newer.up_since = Ms(550);
+    check_lease_after_two_rounds(&[(1, newer), (1, probe(900, 1, 0))], 1, 1700);
+}
+
 /// Guards against a lease on the old primary: once a promotion has taken effect, the other replica
 /// is unfenced but still reports the old term.
 #[test]
