Data centres borrow only what waits, and buckets use the whole tolerance

Cause: with divided rate limits more was refused below the limits than with one keeper while nothing failed: what was borrowed for expected operations expired unused at the cost of the lender, loans were outstanding for 1,000 ms instead of their life of 500, an operation behind a partial grant was refused instead of asking again, and small parts held too few operations. Change: demands name the operations that wait, only these are borrowed; a loan counts as used when it expires; after a partial grant the next operation asks again; the buckets of divided limits have the whole tolerance, and a keeper that begins has nothing.

--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -206,6 +206,7 @@
         demands.push(QuotaDemand {
             account: (&*name).into(),
             wanted: holding.wanted(now),
+            waiting: holding.waiting(),
             reports: holding.reports(now),
         });
     }
--- a/crates/proxy/src/quota/borrowing.rs
+++ b/crates/proxy/src/quota/borrowing.rs
@@ -79,6 +79,12 @@
     if proxy.quota.rules.parts < 2 {
         return;
     }
+    for (demand, grant) in demands.iter().zip(grants.iter_mut()) {
+        // The next operation asks again, and may get what another data centre lends.
+        if missing(demand, grant) == 0 {
+            grant.retry_ms = 0;
+        }
+    }
     let shard = proxy.quota.shard(key);
     let short = short_demands(proxy, shard, demands, grants, Ms::now());
     if short.is_empty() {
@@ -90,20 +96,21 @@
         let open: Vec<usize> = short
             .iter()
             .copied()
-            .filter(|i| grants[*i].granted < demands[*i].wanted)
+            .filter(|i| missing(&demands[*i], &grants[*i]) > 0)
             .collect();
         if open.is_empty() {
             break;
         }
         let wanted = open.iter().map(|i| QuotaDemand {
             account: demands[*i].account.clone(),
-            wanted: demands[*i].wanted - grants[*i].granted,
+            wanted: missing(&demands[*i], &grants[*i]),
+            waiting: missing(&demands[*i], &grants[*i]),
             reports: Vec::new(),
         });
         let lent = ask_lender(proxy, key, &center, wanted.collect()).await;
         for (i, lent) in open.into_iter().zip(lent) {
-            grants[i].granted += lent.granted.min(demands[i].wanted - grants[i].granted);
-            if grants[i].granted == demands[i].wanted {
+            grants[i].granted += lent.granted.min(missing(&demands[i], &grants[i]));
+            if missing(&demands[i], &grants[i]) == 0 {
                 grants[i].retry_ms = 0;
             }
         }
@@ -111,7 +118,7 @@
     let now = Ms::now();
     if let Some(kept) = shard.kept.borrow_mut().as_mut() {
         for i in short {
-            if grants[i].granted < demands[i].wanted
+            if missing(&demands[i], &grants[i]) > 0
                 && let Some(account) = proxy.accounts.find(&demands[i].account)
             {
                 kept.loans.record_shortage(account, now);
@@ -122,6 +129,15 @@
     }
 }
 
+/// Operations that wait and were not granted. Those that are only expected are not borrowed: the lender
+/// would lack what expires unused.
+fn missing(demand: &QuotaDemand, grant: &QuotaGrant) -> u32 {
+    demand
+        .waiting
+        .min(demand.wanted)
+        .saturating_sub(grant.granted)
+}
+
 /// Indexes of the demands for which other data centres are asked.
 fn short_demands(
     proxy: &Proxy,
@@ -134,7 +150,7 @@
     let loans = kept.as_ref().map(|k| &k.loans);
     let is_short = |i: &usize| {
         let account = proxy.accounts.find(&demands[*i].account);
-        grants[*i].granted < demands[*i].wanted
+        missing(&demands[*i], &grants[*i]) > 0
             && account.is_some_and(|a| loans.is_some_and(|l: &Loans| l.may_borrow(a, now)))
     };
     (0..grants.len().min(demands.len()))
--- a/crates/proxy/src/quota/bucket.rs
+++ b/crates/proxy/src/quota/bucket.rs
@@ -20,7 +20,8 @@
 struct Lot {
     asker: AskerKey,
     seq: u64,
-    at: Ms,
+    /// Operations that are left then count as used.
+    until: Ms,
     /// Operations neither reported as used nor as unused.
     left: u32,
 }
@@ -93,8 +94,7 @@
         let refilled = (self.level + self.limit.refill(elapsed_ms)).min(self.room());
         self.level = self.level.max(refilled);
         self.refilled_at = self.refilled_at.max(now);
-        self.lots
-            .retain(|l| l.left > 0 && now < l.at.plus(REPORT_TIMEOUT_MS));
+        self.lots.retain(|l| l.left > 0 && now < l.until);
         self.wants.retain(|w| now < w.at.plus(WANT_TTL_MS));
     }
 
@@ -115,6 +115,23 @@
 
     /// Grants what a daemon wants, or its part of the level if all together want more than that.
     pub fn grant(&mut self, asker: AskerKey, seq: u64, wanted: u32, now: Ms) -> QuotaGrant {
+        self.grant_until(asker, seq, wanted, now.plus(REPORT_TIMEOUT_MS), now)
+    }
+
+    /// As `grant`, for another keeper, which reports nothing: what is granted counts as used as soon as
+    /// it has expired.
+    pub fn lend(&mut self, asker: AskerKey, seq: u64, wanted: u32, now: Ms) -> QuotaGrant {
+        self.grant_until(asker, seq, wanted, now.plus(GRANT_TTL_MS), now)
+    }
+
+    fn grant_until(
+        &mut self,
+        asker: AskerKey,
+        seq: u64,
+        wanted: u32,
+        until: Ms,
+        now: Ms,
+    ) -> QuotaGrant {
         self.advance(now);
         self.wants.retain(|w| w.asker != asker);
         if wanted == 0 {
@@ -137,7 +154,7 @@
             self.lots.push(Lot {
                 asker,
                 seq,
-                at: now,
+                until,
                 left: granted,
             });
         }
--- a/crates/proxy/src/quota/holding.rs
+++ b/crates/proxy/src/quota/holding.rs
@@ -188,6 +188,11 @@
         self.waiting -= 1;
     }
 
+    /// Operations that wait for an answer.
+    pub fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
     /// Whether an operation waits that the keeper must be asked for at once.
     pub fn is_urgent(&self, now: Ms) -> bool {
         let valid = self.lots.iter().filter(|l| now < l.expires);
--- a/crates/proxy/src/quota/keeper.rs
+++ b/crates/proxy/src/quota/keeper.rs
@@ -29,6 +29,8 @@
     pub account: AccountKey,
     pub wanted: u32,
     pub reports: &'a [QuotaReport],
+    /// Whether it is the keeper of another data centre, which reports nothing.
+    pub is_loan: bool,
 }
 
 /// The buckets of a shard.
@@ -67,6 +69,10 @@
         }
         // What the former keeper granted is within its own bucket, also while it has not expired; the
         // initial level is within the tolerance of a window.
-        bucket.grant(demand.asker, demand.seq, demand.wanted, now)
+        if demand.is_loan {
+            bucket.lend(demand.asker, demand.seq, demand.wanted, now)
+        } else {
+            bucket.grant(demand.asker, demand.seq, demand.wanted, now)
+        }
     }
 }
--- a/crates/proxy/src/quota/rules.rs
+++ b/crates/proxy/src/quota/rules.rs
@@ -13,7 +13,7 @@
 
 /// Share of the tolerance by which the buckets of an account are larger where its limit is divided; the
 /// rest is for keepers that begin.
-const DIVIDED_HEADROOM: f64 = 0.75;
+const DIVIDED_HEADROOM: f64 = 1.0;
 
 /// How far the limits are binding.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/proxy/src/quota/serving.rs
+++ b/crates/proxy/src/quota/serving.rs
@@ -102,7 +102,7 @@
     let kept = kept.as_mut().filter(|k| k.lease.is_valid(now))?;
     kept.lease.record_request(asker != AskerKey::OWN, now);
     let demands = request.demands.iter();
-    let grants = demands.map(|d| grant(proxy, key, kept, asker, request.seq, d, now));
+    let grants = demands.map(|d| grant(proxy, key, kept, asker, request, d, now));
     Some(grants.collect())
 }
 
@@ -111,7 +111,7 @@
     key: ShardKey,
     kept: &mut Kept,
     asker: AskerKey,
-    seq: u64,
+    request: &QuotaRequest,
     demand: &QuotaDemand,
     now: Ms,
 ) -> QuotaGrant {
@@ -131,10 +131,11 @@
     };
     let demand = AccountDemand {
         asker,
-        seq,
+        seq: request.seq,
         account,
         wanted: demand.wanted,
         reports: &demand.reports,
+        is_loan: request.is_loan,
     };
     kept.keeper.answer(&demand, limit, now)
 }
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -118,6 +118,7 @@
         account: AccountKey(0),
         wanted: 1000,
         reports: &[],
+        is_loan: false,
     };
     let limit = Limit::new(40.0, 100.0);
     keeper.answer(&demand, limit, Ms(now)).granted
--- a/crates/proxy/tests/quota_simulation.rs
+++ b/crates/proxy/tests/quota_simulation.rs
@@ -108,6 +108,7 @@
     Request {
         seq: u64,
         wanted: u32,
+        waiting: u32,
         reports: Vec<QuotaReport>,
         /// A keeper that refused the connection.
         gone: Option<usize>,
@@ -435,10 +436,12 @@
             Body::Request {
                 seq,
                 wanted,
+                waiting,
                 reports,
                 gone,
             } => {
-                let body = self.answer(to, message.asker, seq, wanted, &reports, gone);
+                let want = (wanted, waiting);
+                let body = self.answer(to, message.asker, seq, want, &reports, gone);
                 self.send(to, from, message.asker, body);
             }
             Body::Grant { seq, grant } => self.on_grant(to, message.asker, seq, grant),
@@ -462,7 +465,7 @@
         d: usize,
         asker: AskerKey,
         seq: u64,
-        wanted: u32,
+        (wanted, waiting): (u32, u32),
         reports: &[QuotaReport],
         gone: Option<usize>,
     ) -> Body {
@@ -487,10 +490,11 @@
             account: ACCOUNT,
             wanted,
             reports,
+            is_loan: false,
         };
         let mut grant = keeper.answer(&demand, limit, now);
         if self.script.centers > 1 {
-            self.borrow(d, wanted, &mut grant);
+            self.borrow(d, wanted.min(waiting), &mut grant);
         }
         Body::Grant { seq, grant }
     }
@@ -498,7 +502,11 @@
     /// Adds to a grant what the keepers of other data centres lend.
     fn borrow(&mut self, d: usize, wanted: u32, grant: &mut QuotaGrant) {
         let now = Ms(self.now);
-        if grant.granted >= wanted || !self.daemons[d].loans.may_borrow(ACCOUNT, now) {
+        if grant.granted >= wanted {
+            grant.retry_ms = 0;
+            return;
+        }
+        if !self.daemons[d].loans.may_borrow(ACCOUNT, now) {
             return;
         }
         for lender in 0..self.daemons.len() {
@@ -521,6 +529,7 @@
                 account: ACCOUNT,
                 wanted: wanted - grant.granted,
                 reports: &[],
+                is_loan: true,
             };
             let lent = if self.variant == Variant::FreeLoans {
                 demand.wanted
@@ -724,6 +733,7 @@
         let body = Body::Request {
             seq,
             wanted: daemon.holding.wanted(Ms(now)),
+            waiting: daemon.holding.waiting(),
             reports: daemon.holding.reports(Ms(now)),
             gone: daemon.gone,
         };
@@ -776,6 +786,7 @@
             account: ACCOUNT,
             wanted: 1,
             reports: &[],
+            is_loan: false,
         };
         if keeper.answer(&demand, limit, now).granted == 0 {
             self.refuse(d);
