--- a/crates/proxy/src/quota/rules.rs
+++ b/crates/proxy/src/quota/rules.rs
@@ -11,10 +11,6 @@
 /// a second and a burst as large lost 14 % of a demand of 0.6 of that in the simulation.
 const MAX_HEADROOM: f64 = 2.0;
 
-/// Share of the tolerance by which the buckets of an account are larger where its limit is divided; the
-/// rest is for keepers that begin.
-const DIVIDED_HEADROOM: f64 = 1.0;
-
 /// How far the limits are binding.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaRules {
@@ -71,9 +67,9 @@
         if self.parts == 1 {
             return self.free_slack().min(MAX_HEADROOM);
         }
-        // Operations that come at one data centre find a part of the burst only, and the rest with
-        // delay.
-        self.tolerance(limit) * DIVIDED_HEADROOM
+        // Operations that come at one data centre find a part of the burst only, so that all of the
+        // tolerance is in the buckets, and none left for keepers that begin.
+        self.tolerance(limit)
     }
 
     /// Operations beyond the rate and the burst that keepers may hand out in a window.
