--- a/crates/proxy/src/quota/borrowing.rs
+++ b/crates/proxy/src/quota/borrowing.rs
@@ -93,38 +93,64 @@
     let mut centers = other_centers(proxy);
     fastrand::shuffle(&mut centers);
     for center in centers.into_iter().take(MAX_LENDERS) {
-        let open: Vec<usize> = short
-            .iter()
-            .copied()
-            .filter(|i| missing(&demands[*i], &grants[*i]) > 0)
-            .collect();
+        let still_short = |i: &usize| missing(&demands[*i], &grants[*i]) > 0;
+        let open: Vec<usize> = short.iter().copied().filter(still_short).collect();
         if open.is_empty() {
-            break;
+            return;
         }
-        let wanted = open.iter().map(|i| QuotaDemand {
+        borrow_from(proxy, key, &center, &open, demands, grants).await;
+    }
+    record_shortages(proxy, shard, &short, demands, grants);
+}
+
+/// Adds to the grants of some demands what one data centre lends.
+async fn borrow_from(
+    proxy: &Rc<Proxy>,
+    key: ShardKey,
+    center: &str,
+    open: &[usize],
+    demands: &[QuotaDemand],
+    grants: &mut [QuotaGrant],
+) {
+    let wanted = open.iter().map(|i| {
+        let missing = missing(&demands[*i], &grants[*i]);
+        QuotaDemand {
             account: demands[*i].account.clone(),
-            wanted: missing(&demands[*i], &grants[*i]),
-            waiting: missing(&demands[*i], &grants[*i]),
+            wanted: missing,
+            waiting: missing,
             reports: Vec::new(),
-        });
-        let lent = ask_lender(proxy, key, &center, wanted.collect()).await;
-        for (i, lent) in open.into_iter().zip(lent) {
-            grants[i].granted += lent.granted.min(missing(&demands[i], &grants[i]));
-            if missing(&demands[i], &grants[i]) == 0 {
-                grants[i].retry_ms = 0;
-            }
+        }
+    });
+    let lent = ask_lender(proxy, key, center, wanted.collect()).await;
+    for (i, lent) in open.iter().zip(lent) {
+        let grant = &mut grants[*i];
+        grant.granted += lent.granted.min(missing(&demands[*i], grant));
+        if missing(&demands[*i], grant) == 0 {
+            grant.retry_ms = 0;
         }
     }
-    let now = Ms::now();
-    if let Some(kept) = shard.kept.borrow_mut().as_mut() {
-        for i in short {
-            if missing(&demands[i], &grants[i]) > 0
-                && let Some(account) = proxy.accounts.find(&demands[i].account)
-            {
-                kept.loans.record_shortage(account, now);
-                // The own part says nothing about when another one has something.
-                grants[i].retry_ms = grants[i].retry_ms.min(SHORTAGE_PAUSE_MS);
-            }
+}
+
+/// Records the accounts of which all data centres had too little.
+fn record_shortages(
+    proxy: &Proxy,
+    shard: &Shard,
+    short: &[usize],
+    demands: &[QuotaDemand],
+    grants: &mut [QuotaGrant],
+) {
+    let mut kept = shard.kept.borrow_mut();
+    let Some(kept) = kept.as_mut() else {
+        return;
+    };
+    for i in short {
+        let Some(account) = proxy.accounts.find(&demands[*i].account) else {
+            continue;
+        };
+        if missing(&demands[*i], &grants[*i]) > 0 {
+            kept.loans.record_shortage(account, Ms::now());
+            // The own part says nothing about when another one has something.
+            grants[*i].retry_ms = grants[*i].retry_ms.min(SHORTAGE_PAUSE_MS);
         }
     }
 }
