The wait of a daemon that may not know departed members begins with its first list

Cause: a daemon that may not know which members have left leaves a change of primary to the others until no primary was seen for 3 s. That time counted from the creation of the group.

Change: the time is an option. It is set when the first member is listed, so a daemon without members has no such time, the failure detector does not take its primary for missing, and the wait begins with what it is about.

--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -20,8 +20,8 @@
 const PROMOTION_POLL_MS: u64 = 50;
 /// Time after which a promotion that has been ordered counts as failed, in ms.
 const PROMOTION_TIMEOUT_MS: u64 = 2500;
-/// Time without a primary after which a daemon changes it that may not know which members have left,
-/// in ms.
+/// Time without a primary, from its first list of members on, after which a daemon changes it that may
+/// not know which members have left, in ms.
 const UNKNOWN_PAST_WAIT_MS: u64 = 3000;
 /// Age of the claim from which no promotion is ordered and no fence is removed any more, in ms:
 /// another daemon may have taken over by then.
@@ -222,7 +222,8 @@
         if let Some(id) = recorded.find(|id| !is_known(id)) {
             return Err(AbortReason::Departed(id.clone()));
         }
-        if self.group.no_primary_since.get().elapsed() < UNKNOWN_PAST_WAIT_MS {
+        let since = self.group.no_primary_since.get();
+        if since.is_none_or(|since| since.elapsed() < UNKNOWN_PAST_WAIT_MS) {
             return Err("this daemon does not know yet which members have left".into());
         }
         Ok(())
--- a/crates/proxy/src/failure_detector.rs
+++ b/crates/proxy/src/failure_detector.rs
@@ -20,8 +20,9 @@
     /// Whether a member reports that it is the primary of the newest term, or is listed as primary
     /// and has no valid probe result.
     pub has_primary: bool,
-    /// When a primary was last known; counts only while `has_primary` is false.
-    pub no_primary_since: Ms,
+    /// When a primary was last known; counts only while `has_primary` is false. `None` if no member
+    /// has been listed yet.
+    pub no_primary_since: Option<Ms>,
     /// Whether a listed member that is not known to be unreachable has no valid probe result.
     pub role_unknown: bool,
     /// Whether a listed member has reported that it is fenced, so that a primary change is probably
@@ -82,8 +83,9 @@
     let lasted = |since: Ms| now.0.saturating_sub(since.0);
     if !health.has_primary {
         let certain = !health.role_unknown && health.replicas >= 1;
-        return (certain && lasted(health.no_primary_since) >= NO_PRIMARY_TIMEOUT_MS)
-            .then_some(FailoverCause::Missing);
+        let since = health.no_primary_since;
+        let is_over = since.is_some_and(|since| lasted(since) >= NO_PRIMARY_TIMEOUT_MS);
+        return (certain && is_over).then_some(FailoverCause::Missing);
     }
     if health.removed {
         return Some(FailoverCause::Gone);
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -49,9 +49,10 @@
     pub history: RefCell<History>,
     /// Notified after each status response, failed attempt to connect, and update of a member.
     pub changed: Signal,
-    /// When a status response last arrived while a primary was known; at first, the creation of the
-    /// group.
-    pub no_primary_since: Cell<Ms>,
+    /// When a status response last arrived while a primary was known; at first, when the first member
+    /// was listed, and `None` before that: a daemon that knows no member has not seen that there is no
+    /// primary, however long it has run.
+    pub no_primary_since: Cell<Option<Ms>>,
     /// The member that has last reported to be the primary, and its term.
     last_primary: RefCell<Option<(Box<str>, u64)>>,
     /// When the newest term was first seen; at first, the creation of the group.
@@ -109,7 +110,7 @@
             members: RefCell::default(),
             history: RefCell::default(),
             changed: Signal::default(),
-            no_primary_since: Cell::new(Ms::now()),
+            no_primary_since: Cell::new(None),
             last_primary: RefCell::default(),
             term_since: Cell::new(Ms::now()),
             is_owner: Cell::new(false),
@@ -166,6 +167,8 @@
             (None, None) => return,
         }
         if let Some(record) = record {
+            let since = self.no_primary_since.get().unwrap_or_else(Ms::now);
+            self.no_primary_since.set(Some(since));
             emit(
                 Event::MemberChanged,
                 &[
@@ -335,7 +338,7 @@
             );
         }
         if self.primary().is_some() {
-            self.no_primary_since.set(Ms::now());
+            self.no_primary_since.set(Some(Ms::now()));
         }
         let has_lease = self.lease_until().left() > 0;
         if has_lease != self.had_lease.replace(has_lease) {
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -201,6 +201,8 @@
     health.role_unknown = true;
     check_cause(&health, 100_000, None);
     health.role_unknown = false;
+    check_cause(&health, 100_000, None);
+    health.no_primary_since = Some(Ms(0));
     check_cause(&health, 100_000, Some(FailoverCause::Missing));
     health.replicas = 0;
     check_cause(&health, 100_000, None);
