--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -162,6 +162,7 @@
     match store.outage(daemon) {
         None | Some(Outage::AnswerLost) => Ok(None),
         Some(Outage::Unavailable) => Ok(Some((503, Value::Null))),
+        Some(Outage::Silent) => std::future::pending().await,
         Some(Outage::Reset) => Err(connection_reset()),
         Some(Outage::Slow(ms)) => {
             sleep_ms(ms).await;
--- a/crates/world/src/store.rs
+++ b/crates/world/src/store.rs
@@ -19,6 +19,8 @@
     Unavailable,
     /// Does not answer, and closes the connection when the outage ends.
     Unresponsive,
+    /// Loses each answer that is due, for good: the connection stays open and returns nothing further.
+    Silent,
     /// Closes the connection without an answer.
     Reset,
     /// Executes writes to the store, but closes the connection instead of answering about half of
