Accepting pauses after a failure, and callers leave a reserve of descriptors

Change: one function accepts for the whole product and pauses after a failure; callers leave 600 descriptors to members, daemons, the store and probes; a connection without a first message ends after 5 s (20 s before).

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -88,13 +88,8 @@
 
 async fn accept_callers(daemon: Rc<Daemon>, listener: TcpListener, tls: Option<Rc<TlsAcceptor>>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(frontend::accept(daemon.clone(), stream, tls.clone()));
-            }
-            // Accepting can fail without harm to the listener, as when file descriptors run out.
-            Err(_) => sleep(POLL_INTERVAL_MS).await,
-        }
+        let stream = link::accept(&listener).await;
+        monoio::spawn(frontend::accept(daemon.clone(), stream, tls.clone()));
     }
 }
 
@@ -103,10 +98,7 @@
     let secret: Rc<str> = Rc::from(&*daemon.settings.secret);
     let next_conn_id = Cell::new(1);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(POLL_INTERVAL_MS).await;
-            continue;
-        };
+        let stream = link::accept(&listener).await;
         let conn_id = next_conn_id.replace(next_conn_id.get() + 1);
         let (daemon, handler, secret) = (daemon.clone(), handler.clone(), secret.clone());
         monoio::spawn(async move {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,6 +1,8 @@
 //! Buffered byte stream over TCP or TLS, used for callers' connections, for those to members and for
 //! outgoing tunnels.
 
+mod accept;
+
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -13,6 +15,8 @@
 use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use tokio_rustls::server::TlsStream;
 
+pub use accept::accept;
+
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 4096;
 
@@ -104,6 +108,16 @@
     /// # Errors
     /// Returns the error of the transport.
     pub async fn read_more(&mut self) -> io::Result<usize> {
+        let n = self.read_once().await?;
+        if n == READ_BYTES {
+            // More is probably at hand. A peer that sends without a pause must not keep other tasks
+            // from running.
+            yield_now().await;
+        }
+        Ok(n)
+    }
+
+    async fn read_once(&mut self) -> io::Result<usize> {
         let BufferedStream { transport, input } = self;
         poll_fn(|cx| {
             // The chunk lives on the stack for one poll, so an idle connection holds no buffer.
@@ -167,3 +181,16 @@
         poll_fn(|cx| self.transport.poll_flush(cx)).await
     }
 }
+
+/// Lets the other tasks that are ready run first.
+async fn yield_now() {
+    let mut has_yielded = false;
+    poll_fn(|cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -12,8 +12,9 @@
 use crate::session::{Session, SessionEvent, read_request};
 use crate::{Credential, Denial, ErrorKind, Proxy, Reply, Request, SessionRequest, tunnel};
 
-/// Timeout of the wait for the caller's first message.
-const HANDSHAKE_TIMEOUT_MS: u64 = 20_000;
+/// Timeout of the wait for the caller's first message, in ms. A caller sends it when it connects, and
+/// waits for the answer for 2 s.
+const HANDSHAKE_TIMEOUT_MS: u64 = 5000;
 /// How long a new session waits for the first configuration, the list of daemons, and an owner that
 /// accepts it.
 /// After a start, the daemon and the owners may not be ready yet.
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -24,8 +24,6 @@
 /// Status lines of responses to accepted and to refused requests.
 const STATUS_OK: &str = "HTTP/1.1 200 OK\r\n";
 const STATUS_REFUSED: &str = "HTTP/1.1 502 Bad Gateway\r\n";
-/// Delay after a failed `accept`.
-const ACCEPT_RETRY_DELAY_MS: u64 = 20;
 
 /// Accepts connections from other daemons, and compares the configuration with theirs, until the
 /// process ends. Refuses `GET` requests.
@@ -39,13 +37,8 @@
     monoio::spawn(rehoming::run(proxy.clone()));
     let handler = Rc::new(handler);
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(serve_conn(proxy.clone(), stream, handler.clone()));
-        } else {
-            // `accept` fails, for example, when no file descriptor is free; the listener stays
-            // usable.
-            monoio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
-        }
+        let stream = link::accept(&listener).await;
+        monoio::spawn(serve_conn(proxy.clone(), stream, handler.clone()));
     }
 }
 
