A member that starts again counts like one that has left until it shows its log

Cause: a changed start cleared the last probe result only; what the former start had confirmed was not counted, since the identifier was still listed. Change: the former start becomes a member that has left, on record like any other, until the listed replicas hold what it may have confirmed, or the first report shows that the log was kept. What is believed about a member ends with its start.

--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -409,6 +409,7 @@
             // No daemon that keeps such records has served the group yet.
             return Ok(());
         };
+        self.group.drop_vanished(&record);
         for id in self.group.unknown_among(record.members.iter()) {
             self.group.add_departed(&id);
         }
--- a/crates/proxy/src/group/fence_set.rs
+++ b/crates/proxy/src/group/fence_set.rs
@@ -69,7 +69,7 @@
         let member = self.member(&id).filter(|m| !m.removed.get())?;
         let is_replica = member.last_probe.get()?.role == Role::Replica;
         let received = member.status.get()?.received;
-        let has_log = received >= member.pos.get();
+        let has_log = member.has_whole_log(received);
         (is_replica && has_log).then_some(LastPrimary { id, pos: received })
     }
 
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -151,7 +151,7 @@
             (Some(member), Some(record)) if member.addr == record.addr => {
                 let started_at = member.record.borrow().started_at;
                 if started_at != record.started_at {
-                    member.last_probe.set(None);
+                    self.on_restart(&member, started_at);
                 }
                 member.removed.set(false);
                 member.final_pos.set(None);
@@ -316,6 +316,7 @@
         } else if member.fenced_since.get().is_none() {
             member.fenced_since.set(Some(sent_at));
         }
+        self.check_log(member, status);
         member.record_status(status);
         let probe = ProbeResult {
             sent_at,
--- a/crates/proxy/src/group/recorded.rs
+++ b/crates/proxy/src/group/recorded.rs
@@ -9,7 +9,7 @@
 use base::{Event, Ms, emit};
 
 use super::Group;
-use crate::{Leader, Member, MemberRecord, ReplicaRecord, Role};
+use crate::{Leader, Member, MemberRecord, ReplicaRecord, Role, Status};
 
 /// Address of a member that is only known from the record; connections to it fail at once.
 const NO_ADDR: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
@@ -30,6 +30,16 @@
     missing_since: Cell<Option<Ms>>,
 }
 
+/// What the identifiers of former starts of a member begin with.
+fn former_prefix(id: &str) -> Box<str> {
+    format!("{id}@").into()
+}
+
+/// Identifier that stands for a former start of a member.
+fn former_start(id: &str, started_at: u64) -> Box<str> {
+    format!("{}{started_at}", former_prefix(id)).into()
+}
+
 impl Recorded {
     /// Records that a member matters no longer.
     pub(super) fn settle(&self, id: &str) {
@@ -50,17 +60,28 @@
         let recorded = &self.recorded;
         recorded.era.set(Some(era));
         recorded.leader.replace(record.leader.clone());
+        self.drop_vanished(record);
         let members: HashSet<Box<str>> = record.members.iter().cloned().collect();
-        let former = recorded.members.replace(members.clone());
+        recorded.members.replace(members.clone());
         let mut settled = recorded.settled.borrow_mut();
-        // Another daemon has seen that they matter no longer.
-        settled.extend(former.difference(&members).cloned());
         settled
             .retain(|id| members.contains(id) || self.member(id).is_some_and(|m| m.removed.get()));
         drop(settled);
         self.update_missing();
     }
 
+    /// Handles members that are on record no longer: another daemon has seen that they do not matter.
+    pub(crate) fn drop_vanished(&self, record: &ReplicaRecord) {
+        let on_record = self.recorded.members.borrow();
+        let has_vanished =
+            |id: &str| on_record.contains(id) && !record.members.iter().any(|m| **m == *id);
+        let vanished = on_record.iter().filter(|id| has_vanished(id)).cloned();
+        self.recorded.settled.borrow_mut().extend(vanished);
+        let is_dropped =
+            |m: &Rc<Member>| m.removed.get() && m.addr == NO_ADDR && has_vanished(&m.id);
+        self.members.borrow_mut().retain(|m| !is_dropped(m));
+    }
+
     /// Whether the record was read in this era of the store.
     pub(crate) fn has_record_of(&self, era: u64) -> bool {
         self.recorded.era.get() == Some(era)
@@ -136,6 +157,15 @@
 
     /// Adds a member that is on record and not listed, as one that has left.
     pub(crate) fn add_departed(&self, id: &str) {
+        self.add_removed(id);
+        emit(
+            Event::ReplicaUnlisted,
+            &[("group", &self.name), ("member", &id)],
+        );
+        self.notify();
+    }
+
+    fn add_removed(&self, id: &str) {
         let record = MemberRecord {
             id: id.into(),
             group: self.name.clone(),
@@ -150,11 +180,46 @@
         member.removed.set(true);
         member.removed_at.set(Ms::now());
         self.members.borrow_mut().push(Rc::new(member));
-        emit(
-            Event::ReplicaUnlisted,
-            &[("group", &self.name), ("member", &id)],
-        );
-        self.notify();
+    }
+
+    /// Handles that a member has started again under its identifier, after a start at `started_at`.
+    /// Until it shows that it has its log, its former start counts like a member that has left.
+    pub(super) fn on_restart(&self, member: &Rc<Member>, started_at: u64) {
+        member.on_restart();
+        // What a primary has confirmed, another member has.
+        let has_led = self.last_leader().is_some_and(|l| l.id == member.id);
+        let former = former_start(&member.id, started_at);
+        if !has_led && self.member(&former).is_none() {
+            self.add_removed(&former);
+        }
+    }
+
+    /// Checks whether a member that has started again has its log. Its former start then matters no
+    /// longer.
+    pub(super) fn check_log(&self, member: &Member, status: &Status) {
+        let Some(has_kept) = member.has_kept_log(status.received) else {
+            return;
+        };
+        let prefix = former_prefix(&member.id);
+        let is_former = |m: &Rc<Member>| m.removed.get() && m.id.starts_with(&*prefix);
+        if !has_kept {
+            emit(
+                Event::MemberLogLost,
+                &[
+                    ("group", &self.name),
+                    ("member", &member.id),
+                    ("received", &status.received),
+                ],
+            );
+            return;
+        }
+        let mut members = self.members.borrow_mut();
+        for former in members.iter().filter(|m| is_former(m)) {
+            self.recorded.settle(&former.id);
+        }
+        members.retain(|m| !is_former(m));
+        drop(members);
+        self.update_missing();
     }
 
     /// Notes whether a member that matters is not on record.
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -51,8 +51,12 @@
     pub status: Cell<Option<Status>>,
     /// Since when the member has reported that it is fenced.
     pub fenced_since: Cell<Option<Ms>>,
-    /// Newest log position that the member has reported.
+    /// Newest log position that the member has reported since its start.
     pub pos: Cell<Pos>,
+    /// End of its log before its last restart, until its first report after that.
+    former_end: Cell<Option<Pos>>,
+    /// Highest end of its log in earlier starts, unless it came back with that log.
+    lost_end: Cell<Pos>,
     /// Lowest position that the member has denied to contain although its log has reached a newer
     /// term. It was rolled back, and the member will not contain it or a later one of its term.
     rolled_back: Cell<Option<Pos>>,
@@ -112,6 +116,8 @@
             status: Cell::new(None),
             fenced_since: Cell::new(None),
             pos: Cell::new(Pos::ZERO),
+            former_end: Cell::new(None),
+            lost_end: Cell::new(Pos::ZERO),
             rolled_back: Cell::new(None),
             idle_conns: RefCell::default(),
             conns: RefCell::default(),
@@ -133,6 +139,40 @@
         }
     }
 
+    /// Forgets what belongs to the former start of a member that has started again.
+    pub(crate) fn on_restart(&self) {
+        let former_end = self.former_end.get().unwrap_or(Pos::ZERO);
+        self.former_end.set(Some(former_end.max(self.log_end())));
+        self.last_probe.set(None);
+        self.status.set(None);
+        self.fenced_since.set(None);
+        self.pos.set(Pos::ZERO);
+        self.rolled_back.set(None);
+        self.idle_conns.borrow_mut().clear();
+        self.lag_backoff.set(LagBackoff::default());
+        self.full_until.set(Ms(0));
+        self.latency.set((Ms(0), INITIAL_LATENCY_MS));
+        self.hold_ms.set(INITIAL_HOLD_MS);
+    }
+
+    /// Takes the first report after a restart; whether the member has the log that it had before.
+    /// `None` if this is not the first report.
+    pub(crate) fn has_kept_log(&self, received: Pos) -> Option<bool> {
+        let former_end = self.former_end.take()?;
+        let has_kept = received >= former_end;
+        if !has_kept {
+            self.lost_end.set(self.lost_end.get().max(former_end));
+        }
+        Some(has_kept)
+    }
+
+    /// Whether a log that ends here contains everything that the member has ever reported.
+    pub(crate) fn has_whole_log(&self, received: Pos) -> bool {
+        let former_end = self.former_end.get().unwrap_or(Pos::ZERO);
+        let end = self.pos.get().max(former_end).max(self.lost_end.get());
+        received >= end
+    }
+
     /// Whether the member may get new reads.
     pub fn is_serving(&self) -> bool {
         !self.removed.get() && !self.record.borrow().draining
