A leaving member that was listed at the start gets no time to drain

Cause: before the first answer of the store, a daemon took the origin of its clock for the instant of the last contact, so that a member which had been leaving for any time got the full time from the daemon's start. Change: the instant is an option, and leaving since an unknown time is a state of its own, in which the member takes no new statements as primary.

--- a/crates/proxy/src/configure.rs
+++ b/crates/proxy/src/configure.rs
@@ -83,10 +83,10 @@
             .borrow_mut()
             .insert(rule.name.clone(), group.clone());
         let mut pending = self.pending_members.borrow_mut();
-        for (record, earliest) in pending.values().filter(|(r, _)| r.group == rule.name) {
-            group.update_member(&record.id, Some(record), *earliest);
+        for member in pending.values().filter(|m| m.record.group == rule.name) {
+            group.update_member(&member.record.id, Some(&member.record), member.earliest);
         }
-        pending.retain(|_, (r, _)| r.group != rule.name);
+        pending.retain(|_, m| m.record.group != rule.name);
         monoio::spawn(health_check::run(group.clone()));
         monoio::spawn(replica_recorder::run(self.clone(), group.clone()));
         monoio::spawn(failover::run(self.clone(), group));
--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -388,7 +388,7 @@
         for record in records {
             if self.group.member(&record.id).is_none() {
                 // It may have been leaving for any time.
-                let earliest = Ms(0);
+                let earliest = None;
                 self.group
                     .update_member(&record.id, Some(&record), earliest);
             }
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -143,9 +143,15 @@
         })
     }
 
-    /// Updates a member from its record on the platform, which was written after `earliest`; `None`
-    /// means that the platform no longer lists it.
-    pub fn update_member(&self, id: &str, record: Option<&MemberRecord>, earliest: Ms) {
+    /// Updates a member from its record on the platform; `None` means that the platform no longer lists
+    /// it. The record was written after `earliest`; `None` if that is unknown.
+    pub fn update_member(
+        &self,
+        id: &str,
+        record: Option<&MemberRecord>,
+        earliest: impl Into<Option<Ms>>,
+    ) {
+        let earliest = earliest.into();
         let known = self.member(id);
         match (known, record) {
             (Some(member), Some(record)) if member.addr == record.addr => {
--- a/crates/proxy/src/group/recorded.rs
+++ b/crates/proxy/src/group/recorded.rs
@@ -176,7 +176,7 @@
             role: Role::Replica,
             started_at: 0,
         };
-        let member = Member::new(record, Ms(0));
+        let member = Member::new(record, None);
         member.removed.set(true);
         member.removed_at.set(Ms::now());
         self.members.borrow_mut().push(Rc::new(member));
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -26,6 +26,27 @@
 /// Longest time from the choice of a member until a statement has reached it, in ms.
 const DRAIN_MARGIN_MS: u64 = 1000;
 
+/// Whether a member leaves its group.
+#[derive(Clone, Copy)]
+enum Leaving {
+    No,
+    /// It may have announced that at any time, also before this daemon started.
+    SinceUnknown,
+    /// It announced that at this instant, at the earliest.
+    Since(Ms),
+}
+
+impl Leaving {
+    /// By the record of a member, which was written after `earliest`; `None` if that is unknown.
+    fn of(record: &MemberRecord, earliest: Option<Ms>) -> Leaving {
+        match (record.draining, earliest) {
+            (false, _) => Leaving::No,
+            (true, None) => Leaving::SinceUnknown,
+            (true, Some(earliest)) => Leaving::Since(earliest),
+        }
+    }
+}
+
 /// A member of a group.
 pub struct Member {
     pub key: MemberKey,
@@ -40,8 +61,8 @@
     /// Position of the primary after the removal of the member; it includes every commit that the
     /// member has confirmed.
     pub(crate) final_pos: Cell<Option<Pos>>,
-    /// Since when the platform lists the member as leaving, at the earliest; `None` if it does not.
-    draining_since: Cell<Option<Ms>>,
+    /// Whether the platform lists the member as leaving, and since when.
+    leaving: Cell<Leaving>,
     /// When bytes were last received from the member, on any connection.
     pub last_heard: Cell<Ms>,
     /// State in the last status response; `None` before the first, or after it is known to be out
@@ -99,9 +120,10 @@
 }
 
 impl Member {
-    /// Creates a member from its record on the platform, which was written after `earliest`.
-    pub fn new(record: MemberRecord, earliest: Ms) -> Member {
-        let draining_since = record.draining.then_some(earliest);
+    /// Creates a member from its record on the platform, which was written after `earliest`; `None` if
+    /// that is unknown.
+    pub fn new(record: MemberRecord, earliest: impl Into<Option<Ms>>) -> Member {
+        let leaving = Leaving::of(&record, earliest.into());
         Member {
             key: MemberKey::next(),
             id: record.id.clone(),
@@ -110,7 +132,7 @@
             removed: Cell::new(false),
             removed_at: Cell::new(Ms(0)),
             final_pos: Cell::new(None),
-            draining_since: Cell::new(draining_since),
+            leaving: Cell::new(leaving),
             last_heard: Cell::new(Ms(0)),
             last_probe: Cell::new(None),
             status: Cell::new(None),
@@ -179,17 +201,22 @@
     }
 
     /// Replaces the record with one that was written after `earliest`.
-    pub(crate) fn update_record(&self, record: &MemberRecord, earliest: Ms) {
-        let since = self.draining_since.get().unwrap_or(earliest);
-        self.draining_since.set(record.draining.then_some(since));
+    pub(crate) fn update_record(&self, record: &MemberRecord, earliest: Option<Ms>) {
+        let is_known = record.draining && !matches!(self.leaving.get(), Leaving::No);
+        if !is_known {
+            self.leaving.set(Leaving::of(record, earliest));
+        }
         self.record.replace(record.clone());
     }
 
     /// Instant from which the member, which leaves, gets no new statements even as primary; `None`
     /// if it does not leave. `drain_ms` is the time for which a leaving member takes statements.
     pub fn closes_at(&self, drain_ms: u64) -> Option<Ms> {
-        let since = self.draining_since.get()?;
-        Some(since.plus(drain_ms.saturating_sub(DRAIN_MARGIN_MS)))
+        match self.leaving.get() {
+            Leaving::No => None,
+            Leaving::SinceUnknown => Some(Ms(0)),
+            Leaving::Since(since) => Some(since.plus(drain_ms.saturating_sub(DRAIN_MARGIN_MS))),
+        }
     }
 
     /// Records a status response.
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -13,6 +13,13 @@
     Placement, Quota, QuotaApi, Route, Settings, Stats, tunnel,
 };
 
+/// A member whose group is in no configuration yet.
+pub(crate) struct PendingMember {
+    pub(crate) record: MemberRecord,
+    /// Instant after which the record was written, if known.
+    pub(crate) earliest: Option<Ms>,
+}
+
 /// One daemon.
 pub struct Proxy {
     pub settings: Settings,
@@ -57,9 +64,8 @@
     stopping_vms: RefCell<HashMap<Box<str>, Ms>>,
     /// Notified when sessions must check whether they are to end.
     pub stop_signal: Signal,
-    /// Records of members whose group is in no configuration yet, and the instant after which each
-    /// was written, by member identifier.
-    pub(crate) pending_members: RefCell<HashMap<Box<str>, (MemberRecord, Ms)>>,
+    /// Members whose group is in no configuration yet, by identifier.
+    pub(crate) pending_members: RefCell<HashMap<Box<str>, PendingMember>>,
 }
 
 impl Proxy {
@@ -96,15 +102,21 @@
         })
     }
 
-    /// Adds a member, or updates its record, which was written after `earliest`.
-    pub fn add_member(&self, record: &MemberRecord, earliest: Ms) {
+    /// Adds a member, or updates its record, which was written after `earliest`; `None` if that is
+    /// unknown.
+    pub fn add_member(&self, record: &MemberRecord, earliest: impl Into<Option<Ms>>) {
+        let earliest = earliest.into();
         let group = self.groups.borrow().get(&record.group).cloned();
         match group {
             Some(group) => group.update_member(&record.id, Some(record), earliest),
             None => {
-                self.pending_members
-                    .borrow_mut()
-                    .insert(record.id.clone(), (record.clone(), earliest));
+                self.pending_members.borrow_mut().insert(
+                    record.id.clone(),
+                    PendingMember {
+                        record: record.clone(),
+                        earliest,
+                    },
+                );
             }
         }
     }
