--- a/crates/proxy/src/group/recorded.rs
+++ b/crates/proxy/src/group/recorded.rs
@@ -128,11 +128,10 @@
         gone.cloned().collect()
     }
 
-    /// Whether the record names members that matter no longer, or not the newest leader.
-    pub(crate) fn is_record_outdated(&self) -> bool {
+    /// Whether the record does not name the newest leader.
+    pub(crate) fn is_leader_outdated(&self) -> bool {
         let recorded_term = self.recorded_leader().map_or(0, |l| l.term);
-        let is_newer = self.last_leader().is_some_and(|l| l.term > recorded_term);
-        is_newer || !self.settled_on_record().is_empty()
+        self.last_leader().is_some_and(|l| l.term > recorded_term)
     }
 
     /// The primary on record, as last read or written.
@@ -240,6 +239,11 @@
         self.recorded.missing_since.get().is_none()
     }
 
+    /// For how long a member has mattered that is not on record, in ms; 0 if there is none.
+    pub(crate) fn missing_for_ms(&self) -> u64 {
+        self.recorded.missing_since.get().map_or(0, Ms::elapsed)
+    }
+
     /// Instant until which statements may be sent to the primary as far as the record goes.
     pub(super) fn recorded_until(&self) -> Ms {
         self.recorded.missing_since.get().unwrap_or(Ms(u64::MAX))
--- a/crates/proxy/src/replica_recorder.rs
+++ b/crates/proxy/src/replica_recorder.rs
@@ -15,6 +15,8 @@
 const RANK_STEP_MS: u64 = 10;
 /// Number of such steps at the most.
 const MAX_RANK_STEPS: u64 = 5;
+/// Time for which the first record waits for the primary to be known, in ms.
+const LEADER_WAIT_MS: u64 = 500;
 /// Time that each daemon in the ranking has for bringing an outdated record up to date before the next
 /// one does, in ms.
 const OUTDATED_STEP_MS: u64 = 3000;
@@ -53,14 +55,19 @@
         group.forget_recorded();
     }
     if !group.is_recorded() {
+        // Written together with the first members, the leader needs no write of its own.
+        return group.last_leader().is_some() || group.missing_for_ms() >= LEADER_WAIT_MS;
+    }
+    let rank = rank(proxy, group);
+    if rank == 0 && group.is_leader_outdated() {
         return true;
     }
-    if !group.is_record_outdated() {
+    if group.settled_on_record().is_empty() {
         *outdated_since = None;
         return false;
     }
     let since = *outdated_since.get_or_insert_with(Ms::now);
-    since.elapsed() >= rank(proxy, group) * OUTDATED_STEP_MS
+    since.elapsed() >= rank * OUTDATED_STEP_MS
 }
 
 /// Brings the record up to date; false when a call fails.
