--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -77,7 +77,16 @@
         self.spawn("hollyreach", name, args)
     }
 
+    /// Starts a `hollyreach` daemon of another build.
+    pub fn spawn_build(&self, bin: &Path, name: &str, args: &[String]) -> Result<Process, String> {
+        self.spawn_file(bin, name, args)
+    }
+
     fn spawn(&self, bin: &str, name: &str, args: &[String]) -> Result<Process, String> {
+        self.spawn_file(&self.bin_dir.join(bin), name, args)
+    }
+
+    fn spawn_file(&self, bin: &Path, name: &str, args: &[String]) -> Result<Process, String> {
         let path = self.dir.join(format!("{name}.out"));
         let log = std::fs::OpenOptions::new()
             .create(true)
@@ -85,7 +94,7 @@
             .open(path)
             .map_err(|e| e.to_string())?;
         let err = log.try_clone().map_err(|e| e.to_string())?;
-        let mut command = Command::new(self.bin_dir.join(bin));
+        let mut command = Command::new(bin);
         command
             .args(args)
             .stdin(Stdio::null())
@@ -105,7 +114,9 @@
                 Ok(())
             });
         }
-        let child = command.spawn().map_err(|e| format!("{bin}: {e}"))?;
+        let child = command
+            .spawn()
+            .map_err(|e| format!("{}: {e}", bin.display()))?;
         Ok(Process {
             child,
             exited: false,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -87,6 +87,11 @@
         .to_options()
         .descr("Run a measurement and print its table")
         .command("measure");
+    let soak = soak_options();
+    construct!([codegen, demo, prove, measure, soak]).to_options()
+}
+
+fn soak_options() -> impl Parser<Task> {
     let seconds = long("seconds")
         .help("time under faults, in seconds")
         .argument::<u64>("S")
@@ -108,6 +113,10 @@
     let accounts = long("accounts")
         .help("give callers client accounts, and change keys and rates")
         .switch();
+    let former_build = long("former-build")
+        .help("begin with this program, and replace one daemon after the other")
+        .argument::<std::path::PathBuf>("FILE")
+        .optional();
     let seed = self::seed();
     let options = construct!(soak::Options {
         seed,
@@ -116,13 +125,13 @@
         daemons,
         kept,
         safety,
-        accounts
+        accounts,
+        former_build
     });
-    let soak = construct!(Task::Soak(options))
+    construct!(Task::Soak(options))
         .to_options()
         .descr("Run daemons against stand-ins of the platform under random faults")
-        .command("soak");
-    construct!([codegen, demo, prove, measure, soak]).to_options()
+        .command("soak")
 }
 
 fn main() {
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -15,6 +15,8 @@
 const SWITCHOVER_MS: u64 = 2500;
 /// Range of the time that a daemon is frozen during a switchover.
 const FREEZE_MS: (u64, u64) = (1150, 1800);
+/// Time that a daemon gets to end after a stop, in ms; its settings say the same.
+const GRACE_MS: u64 = 4000;
 /// Range of the duration of a fault, except for those of fixed duration and switchovers.
 const FAULT_DURATION_MS: (u64, u64) = (300, 4500);
 
@@ -205,6 +207,40 @@
     });
 }
 
+/// Stops one daemon after the other and starts it as the build under test; every fourth time one that
+/// was replaced goes back to the former build for a while. All are of the build under test after
+/// `total_ms`.
+pub async fn replace_builds(fleet: Rc<Fleet>, seed: u64, total_ms: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let count = fleet.daemons.len();
+    let step_ms = total_ms / (count as u64 + 1);
+    for n in 0..count {
+        let due = Ms::now().plus(step_ms);
+        replace(&fleet, n, true).await;
+        if rng.u8(..4) == 0 {
+            let back = rng.usize(..=n);
+            replace(&fleet, back, false).await;
+            sleep_ms(due.left()).await;
+            replace(&fleet, back, true).await;
+        }
+        sleep_ms(due.left()).await;
+    }
+}
+
+/// Stops a daemon and starts it as the build under test or as the former one.
+async fn replace(fleet: &Rc<Fleet>, n: usize, is_new: bool) {
+    let daemon = &fleet.daemons[n];
+    daemon.with_process(|p| p.terminate());
+    let until = Ms::now().plus(GRACE_MS);
+    let mut has_ended = false;
+    while !has_ended && until.left() > 0 {
+        sleep_ms(20).await;
+        daemon.with_process(|p| has_ended = p.has_exited());
+    }
+    daemon.is_new.set(is_new);
+    relaunch(fleet, n);
+}
+
 /// Restarts a daemon. A failure is only printed and does not end the run.
 fn relaunch(fleet: &Fleet, n: usize) {
     if let Err(e) = fleet.launch(&fleet.daemons[n]) {
--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use base::Ms;
@@ -25,6 +26,8 @@
     pub launches: Cell<u64>,
     /// Whether the process has been killed or frozen since its last start.
     pub disrupted: Cell<bool>,
+    /// Whether the process is of the build under test, not of the other one.
+    pub is_new: Cell<bool>,
     /// Highest configuration version observed since the process's last start.
     pub seen_version: Cell<u64>,
 }
@@ -33,6 +36,8 @@
     pub daemons: Vec<Daemon>,
     spawner: Rc<Spawner>,
     seed: u64,
+    /// Program of the other build, which the fleet begins with.
+    pub former_build: Option<PathBuf>,
 }
 
 /// Listeners on the addresses of a daemon, which reserve the ports while they exist.
@@ -65,6 +70,7 @@
         spawner: Rc<Spawner>,
         seed: u64,
         count: usize,
+        former_build: Option<PathBuf>,
     ) -> Result<Rc<Fleet>, String> {
         let folder = crate::cluster::target_dir().join("soak");
         // All addresses stay reserved until every daemon and stand-in has its own: listeners use
@@ -92,6 +98,7 @@
                 settings_path: settings_path.display().to_string(),
                 process: RefCell::new(None),
                 launches: Cell::new(0),
+                is_new: Cell::new(former_build.is_none()),
                 disrupted: Cell::new(false),
                 seen_version: Cell::new(0),
             });
@@ -101,6 +108,7 @@
             daemons,
             spawner,
             seed,
+            former_build,
         });
         for daemon in &fleet.daemons {
             fleet.launch(daemon)?;
@@ -116,7 +124,10 @@
         }
         let args = ["gateway", "--config", &daemon.settings_path].map(str::to_owned);
         let log_name = format!("{}-{}", self.seed, daemon.name);
-        let process = self.spawner.spawn_daemon(&log_name, &args)?;
+        let process = match &self.former_build {
+            Some(bin) if !daemon.is_new.get() => self.spawner.spawn_build(bin, &log_name, &args)?,
+            _ => self.spawner.spawn_daemon(&log_name, &args)?,
+        };
         daemon.process.replace(Some(process));
         daemon.launches.set(daemon.launches.get() + 1);
         daemon.disrupted.set(false);
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -35,6 +35,8 @@
     pub safety: bool,
     /// Whether callers have client accounts.
     pub accounts: bool,
+    /// Program of another build. The fleet begins with it, and is replaced one daemon after the other.
+    pub former_build: Option<std::path::PathBuf>,
 }
 
 /// Seeds that failed in the past, each with the cause of that failure; all must pass now.
@@ -110,7 +112,8 @@
     let world = World::start(GROUP_COUNT, delay);
     let ledger = Rc::new(Ledger::default());
     let accounts = options.accounts.then(|| Accounts::start(&world, &ledger));
-    let fleet = Fleet::start(&world, spawner, seed, options.daemons)?;
+    let former_build = options.former_build.clone();
+    let fleet = Fleet::start(&world, spawner, seed, options.daemons, former_build)?;
     if let Err(text) = fleet.wait_ready(Ms::now().plus(READY_TIMEOUT_MS)).await {
         fleet.kill_all();
         return Err(text);
@@ -125,6 +128,9 @@
     sleep_ms(500).await;
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut left_ms = options.seconds * 1000;
+    if fleet.former_build.is_some() {
+        monoio::spawn(faults::replace_builds(fleet.clone(), seed, left_ms));
+    }
     while left_ms > 0 {
         let round_ms = left_ms.min(ROUND_MS);
         left_ms -= round_ms;
