A write in a read-only transaction gets its refusal at once

One mistaken caller took what was known about a member from all, and waited until its deadline for BUSY: the member's READONLY was read as a change of primary and tried again. It is now the caller's answer.

Test: platform/tests/read_only.rs failed before (BUSY after 0.8 s).

--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -94,6 +94,10 @@
             let result = task.send(&mut conn, None, cx.deadline.left()).await;
             cx.charge.record_reply(result.as_ref().ok());
             match result {
+                Ok(reply) if self.is_caller_mistake(task, &reply) => {
+                    self.conn = Some(conn);
+                    return self.close_unless_open(cx, reply).await;
+                }
                 Ok(reply) if reply.error_kind().is_some_and(ErrorKind::is_not_run) => {
                     let requirement = Requirement::Member(conn.member.key);
                     let decision = cx
@@ -121,6 +125,12 @@
         }
     }
 
+    /// Whether a member refused a write because the caller has begun a read-only transaction. That says
+    /// nothing about which member is primary, and every member would refuse it.
+    fn is_caller_mistake(&self, task: &StatementTask<'_>, reply: &Reply) -> bool {
+        self.read_only && task.write && reply.error_kind() == Some(ErrorKind::NotPrimary)
+    }
+
     /// Acquires a connection and sends `BEGIN` on it, once.
     ///
     /// # Errors
