A lost log stays lost over a second restart, and a listed member stays on record

A listed member is never marked now.

Tests: a_second_restart_does_not_make_up_for_a_lost_log failed before. a_listed_member_that_another_daemon_took_off_the_record_goes_back held before as well; it guards the path of the recorder, which dropped the mark by itself.

--- a/crates/proxy/src/group/recorded.rs
+++ b/crates/proxy/src/group/recorded.rs
@@ -75,8 +75,12 @@
         let on_record = self.recorded.members.borrow();
         let has_vanished =
             |id: &str| on_record.contains(id) && !record.members.iter().any(|m| **m == *id);
-        let vanished = on_record.iter().filter(|id| has_vanished(id)).cloned();
-        self.recorded.settled.borrow_mut().extend(vanished);
+        // One that is listed here goes on record again.
+        let is_listed = |id: &str| self.member(id).is_some_and(|m| !m.removed.get());
+        let vanished = on_record
+            .iter()
+            .filter(|id| has_vanished(id) && !is_listed(id));
+        self.recorded.settled.borrow_mut().extend(vanished.cloned());
         let is_dropped =
             |m: &Rc<Member>| m.removed.get() && m.addr == NO_ADDR && has_vanished(&m.id);
         self.members.borrow_mut().retain(|m| !is_dropped(m));
@@ -117,7 +121,7 @@
     }
 
     /// Identifiers on record that matter no longer.
-    pub(crate) fn settled_on_record(&self) -> Vec<Box<str>> {
+    pub fn settled_on_record(&self) -> Vec<Box<str>> {
         let on_record = self.recorded.members.borrow();
         let settled = self.recorded.settled.borrow();
         let is_settled = |id: &str| {
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -177,14 +177,14 @@
         self.hold_ms.set(INITIAL_HOLD_MS);
     }
 
-    /// Takes the first report after a restart; whether the member has the log that it had before.
+    /// Takes the first report after a restart; whether the member has the log that it had before, also
+    /// before any earlier restart at which it had lost it.
     /// `None` if this is not the first report.
     pub(crate) fn has_kept_log(&self, received: Pos) -> Option<bool> {
-        let former_end = self.former_end.take()?;
+        let former_end = self.former_end.take()?.max(self.lost_end.get());
         let has_kept = received >= former_end;
-        if !has_kept {
-            self.lost_end.set(self.lost_end.get().max(former_end));
-        }
+        let lost_end = if has_kept { Pos::ZERO } else { former_end };
+        self.lost_end.set(lost_end);
         Some(has_kept)
     }
 
