--- a/crates/proxy/src/failover/change/order.rs
+++ b/crates/proxy/src/failover/change/order.rs
@@ -111,6 +111,7 @@
         self.record.orders.push(PromotionOrder {
             member: candidate.id.clone(),
             term: self.group.led_term() + 1,
+            holder: self.proxy.settings.name.clone(),
             token: self.token,
             is_accepted: false,
         });
--- a/crates/proxy/src/group/orders.rs
+++ b/crates/proxy/src/group/orders.rs
@@ -55,6 +55,7 @@
                 ("member", &order.member),
                 ("term", &order.term),
                 ("order", &order.token),
+                ("holder", &order.holder),
                 ("accepted", &order.is_accepted),
                 ("age_ms", &self.order_log.borrow().age_ms(order, Ms::now())),
             ],
--- a/crates/proxy/src/promotion_order.rs
+++ b/crates/proxy/src/promotion_order.rs
@@ -29,6 +29,8 @@
     pub member: Box<str>,
     /// Lowest term that the member leads if the order takes effect; 0 if unknown.
     pub term: u64,
+    /// Name of the VM that sent it; empty if unknown.
+    pub holder: Box<str>,
     /// Token under which it was sent; each order of a group has another.
     pub token: FencingToken,
     /// Whether the platform has answered that it carries the order out.
@@ -42,6 +44,7 @@
         PromotionOrder {
             member: "".into(),
             term: 0,
+            holder: "".into(),
             token,
             is_accepted: false,
         }
--- a/crates/proxy/tests/late_order_simulation.rs
+++ b/crates/proxy/tests/late_order_simulation.rs
@@ -687,6 +687,7 @@
         orders.push(PromotionOrder {
             member: name(candidate),
             term: change.term,
+            holder: "vm-1".into(),
             token: change.token,
             is_accepted: false,
         });
--- a/crates/proxy/tests/promotion_order.rs
+++ b/crates/proxy/tests/promotion_order.rs
@@ -7,6 +7,7 @@
     PromotionOrder {
         member: member.into(),
         term,
+        holder: "vm-1".into(),
         token,
         is_accepted,
     }
