--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -47,6 +47,7 @@
     let store = world.store.clone();
     serve(
         move || Some(store.era.get()),
+        false,
         move |request| {
             let (world, daemon) = (world.clone(), daemon.clone());
             async move {
@@ -76,6 +77,8 @@
     let daemon: Rc<str> = daemon.into();
     serve(
         || None,
+        // An order is carried out although its sender has closed the connection since.
+        true,
         move |request| {
             let (world, daemon) = (world.clone(), daemon.clone());
             async move { handle_promotion(&world, &daemon, &request).await }
@@ -84,8 +87,9 @@
 }
 
 /// Serves requests with `handler` on a new port and returns the address. Answers carry the era of
-/// the store, if any.
-fn serve<E, F, A>(era: E, handler: F) -> String
+/// the store, if any. With `half_close`, a request is handled although its sender has closed the
+/// connection.
+fn serve<E, F, A>(era: E, half_close: bool, handler: F) -> String
 where
     E: Fn() -> Option<u64> + Clone + 'static,
     F: Fn(ApiRequest) -> A + Clone + 'static,
@@ -94,13 +98,14 @@
     let (listener, addr) = bind();
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(serve_connection(stream, era.clone(), handler.clone()));
+            let (era, handler) = (era.clone(), handler.clone());
+            monoio::spawn(serve_connection(stream, era, half_close, handler));
         }
     });
     addr
 }
 
-async fn serve_connection<E, F, A>(stream: TcpStream, era: E, handler: F)
+async fn serve_connection<E, F, A>(stream: TcpStream, era: E, half_close: bool, handler: F)
 where
     E: Fn() -> Option<u64>,
     F: Fn(ApiRequest) -> A,
@@ -124,6 +129,7 @@
     });
     // Errors are expected: an injected outage closes the connection, and so may the daemon.
     let _ = hyper::server::conn::http1::Builder::new()
+        .half_close(half_close)
         .serve_connection(MonoioIo::new(stream), service)
         .await;
 }
