peer: a connection for one call that is reset when it is given up

What was written to a connection is sent even after an orderly close, for as long as the kernel finds no path; the call of a promotion order was closed that way after 1 s. SingleCall opens a connection of its own, which shows that there is a path, writes nothing after a given instant (checked in the poll that hands the bytes to the kernel), and is reset when it is dropped, also by the end of the process.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -177,13 +177,6 @@
         }
     }
 
-    /// Whether a call to an address would use an idle connection.
-    pub fn has_idle(&self, addr: SocketAddr) -> bool {
-        let idle = self.idle.borrow();
-        let conns = idle.get(&addr).into_iter().flatten();
-        conns.into_iter().any(SendRequest::is_ready)
-    }
-
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.idle.borrow_mut().remove(&addr);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod client;
 mod server;
+mod single_call;
 
 pub use client::{Answer, CallError, Client, Conn, HELLO_PATH};
 pub use server::{Call, Handler, StatusAndBody, decode, encode, serve};
+pub use single_call::SingleCall;
