Failover: tokens of promotion orders do not fall at the platform

What users saw: the failover API got an order for a group with a lower fencing token after one with a higher token, from another daemon.

Cause: the right to order was handed on, or used again under a new token, while an earlier order was still on its way.

Change: an order has one token and one sender until it is settled. A change keeps its claim, renews it, and repeats the order under the same token until it has an effect, a refusal, or counts as lost; an accepted order is waited for and not repeated (8 s in place of 4 s, so that promotions of 6 s fit). A daemon that finds an unanswered order of another process on record makes no change and does not claim; it reads the record once a second until the order is settled or 20 s old. A process that claims again while its own order may be on its way keeps the token. Orders go over connections of their own, opened before the claim (without a path nothing is claimed) and reset when the change ends. Void orders do not keep another member from leading.

A holder that dies between the record of its order and the answer now costs the group up to 24 s if the order was lost.

--- a/crates/proxy/src/failover/abort_reason.rs
+++ b/crates/proxy/src/failover/abort_reason.rs
@@ -18,6 +18,14 @@
         Outstanding(id: Box<str>) {
             display("an earlier order to promote {id} may still take effect")
         }
+        /// Until it was answered or counts as lost, a later token could overtake it.
+        OnWay(holder: Box<str>) {
+            display("an order of {holder} may be on its way to the platform")
+        }
+        /// Another daemon may have one.
+        NoPath {
+            display("the platform cannot be reached to order a promotion")
+        }
         Step(text: &'static str) { from() display("{text}") }
     }
 }
--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -3,6 +3,7 @@
 
 mod order;
 mod past;
+mod sent_order;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -14,17 +15,22 @@
 use super::old_primary::OldPrimary;
 use crate::{
     ChangeRecord, Claim, Command, Conn, ConnError, Demotion, FenceHold, FencingToken, Group,
-    Leader, Member, MemberKey, Proxy, RecordUpdate, Role, Status,
+    Leader, Member, MemberKey, OrderAnswer, OrderConn, Proxy, RecordUpdate, Role, Status,
 };
+use sent_order::SentOrder;
 
 /// Interval between two rounds while the old primary's log is longer than all others, in ms.
 const UNCOVERED_RETRY_MS: u64 = 100;
-/// Age of the claim from which no promotion is ordered and no fence is removed any more, in ms:
-/// another daemon may have taken over by then.
+/// Age of the claim, since it was taken or renewed, from which no promotion is ordered and no fence is
+/// removed any more, in ms: another daemon may have taken over by then.
 const MAX_CLAIM_AGE_MS: u64 = 3000;
 /// Age of the claim from which a change stops that has not ordered a promotion, in ms, so that its
 /// fences can be removed in time.
 const MAX_FENCING_AGE_MS: u64 = 2700;
+/// Age from which the claim is renewed while an order is not settled, in ms.
+const RENEWAL_AGE_MS: u64 = 1200;
+/// Delay before a change goes on that could not repeat its order, in ms.
+const REPEAT_DELAY_MS: u64 = 200;
 
 /// A primary change under a claim.
 pub(super) struct PrimaryChange<'a> {
@@ -33,8 +39,13 @@
     token: FencingToken,
     /// As an earlier change has left it.
     record: ChangeRecord,
-    /// When the claim was requested.
-    started_at: Ms,
+    /// When the claim was requested, or its last renewal.
+    claimed_at: Ms,
+    /// Opened before the claim was requested, which shows that this daemon reaches the platform.
+    order_conn: Option<OrderConn>,
+    /// The orders that this change has sent. Dropping them resets their connections: what has not reached
+    /// the platform by then is not sent after the claim has passed on.
+    sent: Vec<SentOrder>,
     /// Not fenced, but demoted; `None` if no primary was known.
     old_primary: Option<Rc<Member>>,
     demotion: Option<OldPrimary>,
@@ -54,7 +65,8 @@
         group: &'a Rc<Group>,
         old_primary: Option<Rc<Member>>,
         claim: Claim,
-        started_at: Ms,
+        claimed_at: Ms,
+        order_conn: OrderConn,
     ) -> PrimaryChange<'a> {
         let mut record = claim.record;
         if let Some(leader) = group.recorded_leader() {
@@ -68,7 +80,9 @@
             group,
             token: claim.token,
             record,
-            started_at,
+            claimed_at,
+            order_conn: Some(order_conn),
+            sent: Vec::new(),
             demotion: old_primary.as_ref().map(demote),
             old_primary,
             old_term,
@@ -82,11 +96,12 @@
     /// next change. Fences are removed if it fails before the promotion was ordered, unless an earlier
     /// order may take effect.
     pub(super) async fn run(mut self) -> (Result<Rc<Member>, AbortReason>, ChangeRecord) {
-        let (result, record) = match self.order_promotion().await {
-            Ok(candidate) => {
-                let result = self.finish(candidate).await;
-                (result, self.record_after_order())
+        let (result, record) = match self.promote().await {
+            Ok((candidate, term)) => {
+                self.finish(&candidate, term).await;
+                (Ok(candidate), self.record_after_order())
             }
+            Err(reason) if !self.sent.is_empty() => (Err(reason), self.record_after_order()),
             Err(reason) => {
                 let record = self.new_record();
                 if self.group.may_serve(&self.record.orders) {
@@ -95,19 +110,66 @@
                 (Err(reason), record)
             }
         };
+        for sent in self.sent.iter().filter(|s| s.is_pending()) {
+            sent.log_end(self.group, OrderAnswer::Missing, self.claimed_at);
+        }
         for conn in self.conns.into_values() {
             self.group.release(conn);
         }
         (result, record)
     }
 
+    /// Orders the promotion of a member, and orders it again under the same token until it takes effect.
+    /// The claim is kept until then, so that nobody else orders. Returns the member and its term.
+    async fn promote(&mut self) -> Result<(Rc<Member>, u64), AbortReason> {
+        let mut ordered: Option<Rc<Member>> = None;
+        loop {
+            match self.order_promotion().await {
+                Ok(candidate) => ordered = Some(candidate),
+                // What was ordered may take effect although it cannot be ordered again now.
+                Err(_) if !self.sent.is_empty() && self.may_be_promoted() => {
+                    sleep_ms(REPEAT_DELAY_MS).await;
+                }
+                Err(reason) => return Err(reason),
+            }
+            let Some(candidate) = ordered.clone() else {
+                continue;
+            };
+            if let Some(term) = self.await_promotion(&candidate).await? {
+                return Ok((candidate, term));
+            }
+        }
+    }
+
     /// What the old primary has shown; `None` if it does not answer as a replica.
     fn demotion(&self) -> Option<Demotion> {
         self.demotion.as_ref().and_then(OldPrimary::demotion)
     }
 
     fn is_claim_too_old(&self) -> bool {
-        self.started_at.elapsed() >= MAX_CLAIM_AGE_MS
+        self.claimed_at.elapsed() >= MAX_CLAIM_AGE_MS
+    }
+
+    /// Renews the claim if it is not new any more.
+    ///
+    /// # Errors
+    /// Another daemon may have taken over.
+    async fn keep_claim(&mut self) -> Result<(), AbortReason> {
+        if self.claimed_at.elapsed() < RENEWAL_AGE_MS {
+            return Ok(());
+        }
+        let requested_at = Ms::now();
+        let update = RecordUpdate {
+            group: self.group.name.clone(),
+            record: self.record.clone(),
+        };
+        if (self.proxy.failover_api.save_record)(update).await {
+            self.claimed_at = requested_at;
+        }
+        if self.is_claim_too_old() {
+            return Err("the claim could not be renewed".into());
+        }
+        Ok(())
     }
 
     /// The members that this change has fenced.
@@ -130,6 +192,9 @@
             }
         }
         loop {
+            if !self.sent.is_empty() {
+                self.keep_claim().await?;
+            }
             let fence_set = self.fence_set()?;
             let keys: Vec<MemberKey> = fence_set.iter().map(|m| m.key).collect();
             self.ask_all(&fence_set).await?;
@@ -145,7 +210,7 @@
                     wait_ms = UNCOVERED_RETRY_MS;
                 }
             }
-            if self.started_at.elapsed() >= MAX_FENCING_AGE_MS {
+            if self.claimed_at.elapsed() >= MAX_FENCING_AGE_MS {
                 return Err("the replicas did not stay fenced".into());
             }
             sleep_ms(wait_ms).await;
@@ -187,9 +252,8 @@
         Ok(())
     }
 
-    /// Waits until the candidate is primary, and lets the other members follow it.
-    async fn finish(&mut self, candidate: Rc<Member>) -> Result<Rc<Member>, AbortReason> {
-        let term = self.await_promotion(&candidate).await?;
+    /// Notes that the candidate leads a term, and lets the other members follow it.
+    async fn finish(&mut self, candidate: &Member, term: u64) {
         // The platform counts the terms by itself: nobody leads the one that the order was made for, if
         // that is a later one.
         self.record.leaders.retain(|l| l.term <= term);
@@ -202,7 +266,6 @@
         others.retain(|m| m.key != candidate.key);
         let record = self.record_after_order();
         self.remove_fences(&others, &record).await;
-        Ok(candidate)
     }
 
     /// Removes the fences of this change, unless another daemon may have taken over. Those that are
--- a/crates/proxy/src/failover/change/order.rs
+++ b/crates/proxy/src/failover/change/order.rs
@@ -4,19 +4,20 @@
 
 use base::{Event, Ms, emit, sleep_ms};
 
-use super::PrimaryChange;
+use super::sent_order::SentOrder;
+use super::{MAX_CLAIM_AGE_MS, PrimaryChange};
 use crate::failover::AbortReason;
 use crate::{
-    ChangeRecord, Command, Demotion, Leader, Member, OrderAnswer, Promotion, PromotionOrder,
-    RecordUpdate, Role,
+    ChangeRecord, Command, Demotion, Leader, Member, OrderAnswer, OrderConn, Promotion,
+    PromotionOrder, RecordUpdate, Role,
 };
 
 /// Interval between two questions to the candidate whether it is primary, in ms.
 const PROMOTION_POLL_MS: u64 = 50;
-/// Time after which a promotion that has been accepted counts as failed, in ms.
-const PROMOTION_TIMEOUT_MS: u64 = 2500;
-/// As `PROMOTION_TIMEOUT_MS`, without an answer: the order is probably lost, and the next change repeats it.
-const UNANSWERED_TIMEOUT_MS: u64 = 1200;
+/// Time after which an order without an answer is sent again, in ms: it is probably lost.
+const REPEAT_AFTER_MS: u64 = 1500;
+/// Age from which a connection no longer shows that there is a path, in ms.
+const MAX_CONN_AGE_MS: u64 = 300;
 
 impl PrimaryChange<'_> {
     /// The record for the next change after a promotion was ordered: only who leads which term, and the
@@ -25,6 +26,7 @@
         ChangeRecord {
             leaders: self.record.leaders.clone(),
             orders: self.record.orders.clone(),
+            ordered: self.record.ordered,
             ..ChangeRecord::default()
         }
     }
@@ -32,6 +34,25 @@
     /// Fences the replicas, orders the promotion of the one with the longest log and returns it.
     pub(super) async fn order_promotion(&mut self) -> Result<Rc<Member>, AbortReason> {
         let candidate = self.fence_all().await?;
+        if self.sent.is_empty() {
+            self.log_fenced(&candidate);
+        }
+        let conn = self.take_order_conn().await?;
+        let order = self.record_order(&candidate).await?;
+        self.log_order(&order, &conn);
+        let promotion = Promotion {
+            group: self.group.name.clone(),
+            member: order.member.clone(),
+            token: order.token,
+            until: self.claimed_at.plus(MAX_CLAIM_AGE_MS),
+        };
+        self.sent
+            .push(SentOrder::new(order, (conn.send)(promotion)));
+        self.poll_answers().await;
+        Ok(candidate)
+    }
+
+    fn log_fenced(&self, candidate: &Member) {
         emit(
             Event::FailoverFenced,
             &[
@@ -45,49 +66,46 @@
             ],
         );
         self.log_accepted_losses();
-        let answer = match self.record_order(&candidate).await {
-            Ok(()) => self.send_order(&candidate).await,
-            Err(reason) => {
-                self.record.orders.retain(|o| o.token != self.token);
-                return Err(reason);
-            }
-        };
-        for order in &mut self.record.orders {
-            order.is_accepted |= order.token == self.token && answer == OrderAnswer::Accepted;
-        }
-        if answer == OrderAnswer::Refused {
-            self.record.orders.retain(|o| o.token != self.token);
-        }
-        self.group.update_orders(&mut self.record.orders);
-        if answer == OrderAnswer::Refused {
-            return Err("the promotion was refused".into());
-        }
-        Ok(candidate)
     }
 
-    /// Orders the promotion.
-    pub(super) async fn send_order(&self, candidate: &Member) -> OrderAnswer {
-        let promotion = Promotion {
-            group: self.group.name.clone(),
-            member: candidate.id.clone(),
-            token: self.token,
-        };
-        let claim_age_ms = self.started_at.elapsed();
-        let sent_at = Ms::now();
-        let answer = (self.proxy.failover_api.promote)(promotion).await;
+    fn log_order(&self, order: &PromotionOrder, conn: &OrderConn) {
         emit(
             Event::PromotionOrdered,
             &[
                 ("group", &self.group.name),
-                ("member", &candidate.id),
+                ("member", &order.member),
                 ("term", &self.term),
                 ("change", &self.token),
-                ("claim_age_ms", &claim_age_ms),
-                ("answer", &answer),
-                ("took_ms", &sent_at.elapsed()),
+                ("order", &order.token),
+                ("call", &order.call),
+                ("claim_age_ms", &self.claimed_at.elapsed()),
+                ("conn_age_ms", &conn.opened_at.elapsed()),
             ],
         );
-        answer
+    }
+
+    /// The connection that was opened before the claim, or a new one if that is not recent.
+    async fn take_order_conn(&mut self) -> Result<OrderConn, AbortReason> {
+        let conn = self.order_conn.take();
+        let recent = conn.filter(|c| c.opened_at.elapsed() < MAX_CONN_AGE_MS);
+        let conn = match recent {
+            Some(conn) => Some(conn),
+            None => (self.proxy.failover_api.connect)(()).await,
+        };
+        conn.ok_or(AbortReason::NoPath)
+    }
+
+    /// Lets the calls of this change's orders go on, and notes their answers.
+    async fn poll_answers(&mut self) {
+        for sent in &mut self.sent {
+            let Some(answer) = sent.poll().await else {
+                continue;
+            };
+            sent.log_end(self.group, answer, self.claimed_at);
+            let mut order_log = self.group.order_log.borrow_mut();
+            order_log.on_answer(&mut self.record.orders, &sent.order, answer);
+        }
+        self.group.update_orders(&mut self.record.orders);
     }
 
     /// The ends of the fenced members' logs, as `ID=TERM:NUMBER,...`.
@@ -103,29 +121,55 @@
     ///
     /// # Errors
     /// The order must not be sent.
-    pub(super) async fn record_order(&mut self, candidate: &Member) -> Result<(), AbortReason> {
+    async fn record_order(&mut self, candidate: &Member) -> Result<PromotionOrder, AbortReason> {
+        let order = self.new_order(candidate)?;
         self.record.add_leader(Leader {
             term: self.term,
             id: candidate.id.clone(),
         });
-        self.record.orders.push(PromotionOrder {
-            member: candidate.id.clone(),
-            term: self.group.led_term() + 1,
-            holder: self.proxy.settings.name.clone(),
-            token: self.token,
-            is_accepted: false,
-        });
+        self.record.orders.push(order.clone());
+        self.record.ordered = order.token;
+        self.group.order_log.borrow_mut().on_sent(order.token);
         let update = RecordUpdate {
             group: self.group.name.clone(),
             record: self.record.clone(),
         };
-        if !(self.proxy.failover_api.save_record)(update).await {
-            return Err("the order could not be recorded".into());
+        let requested_at = Ms::now();
+        let is_saved = (self.proxy.failover_api.save_record)(update).await;
+        if is_saved && !self.is_claim_too_old() {
+            self.claimed_at = requested_at;
+            return Ok(order);
         }
-        if self.is_claim_too_old() {
-            return Err("the claim is too old".into());
+        let mut order_log = self.group.order_log.borrow_mut();
+        order_log.on_answer(&mut self.record.orders, &order, OrderAnswer::Refused);
+        Err(if is_saved {
+            "the claim is too old".into()
+        } else {
+            "the order could not be recorded".into()
+        })
+    }
+
+    /// The next order of this change.
+    ///
+    /// # Errors
+    /// A higher token than that of the claim was used.
+    fn new_order(&self, candidate: &Member) -> Result<PromotionOrder, AbortReason> {
+        let orders = &self.record.orders;
+        let order_log = self.group.order_log.borrow();
+        let token = order_log.next_token(orders, self.token, self.record.ordered);
+        if token < self.record.ordered {
+            return Err("an order has a higher token than this claim".into());
         }
-        Ok(())
+        Ok(PromotionOrder {
+            member: candidate.id.clone(),
+            term: self.group.led_term() + 1,
+            holder: self.proxy.settings.name.clone(),
+            token,
+            call: order_log.next_call(orders, token),
+            is_answered: false,
+            is_accepted: false,
+            is_void: false,
+        })
     }
 
     /// Whether a member's log contains every commit that the old primary may have confirmed.
@@ -188,7 +232,7 @@
 
     pub(super) fn best_member(&self, fence_set: &[Rc<Member>]) -> Result<Rc<Member>, AbortReason> {
         let key = |m: &&Rc<Member>| (self.hold.pos(m.key), m.is_serving());
-        let mut orders = self.record.orders.iter();
+        let mut orders = self.record.orders.iter().filter(|o| !o.is_void);
         let Some(order) = orders.next() else {
             let longest = fence_set.iter().max_by_key(key).cloned();
             return longest.ok_or_else(|| "no replica can be promoted".into());
@@ -202,26 +246,48 @@
         ordered.ok_or_else(|| AbortReason::Outstanding(order.member.clone()))
     }
 
-    /// Waits until the candidate is primary; returns its term.
+    /// Waits until the candidate is primary, and returns its term; `None` once the order is to be sent
+    /// again. An order that was accepted is waited for as long as it may take effect.
+    ///
+    /// # Errors
+    /// No order may take effect any more, or the claim is lost.
     pub(super) async fn await_promotion(
         &mut self,
         candidate: &Rc<Member>,
-    ) -> Result<u64, AbortReason> {
-        let mut own = self.record.orders.iter().filter(|o| o.token == self.token);
-        let timeout_ms = if own.any(|o| !o.is_accepted) {
-            UNANSWERED_TIMEOUT_MS
-        } else {
-            PROMOTION_TIMEOUT_MS
-        };
-        let until = Ms::now().plus(timeout_ms);
-        while until.left() > 0 {
+    ) -> Result<Option<u64>, AbortReason> {
+        loop {
             sleep_ms(PROMOTION_POLL_MS).await;
             if let Ok(status) = self.send(candidate, &Command::Status).await
                 && status.role == Role::Primary
             {
-                return Ok(status.term);
+                return Ok(Some(status.term));
+            }
+            // This daemon may reach it through another one only.
+            let leader = self.group.last_leader().filter(|l| l.id == candidate.id);
+            if let Some(leader) = leader.filter(|l| l.term > self.old_term) {
+                return Ok(Some(leader.term));
+            }
+            self.poll_answers().await;
+            if !self.may_be_promoted() {
+                return Err("the promotion was refused, or took no effect".into());
+            }
+            let is_accepted = self.record.orders.iter().any(|o| o.is_accepted);
+            self.keep_claim().await?;
+            if !is_accepted && self.is_repeat_due() {
+                return Ok(None);
             }
         }
-        Err("the promotion took no effect".into())
+    }
+
+    /// Whether an order on record may take effect.
+    pub(super) fn may_be_promoted(&self) -> bool {
+        self.record.orders.iter().any(|o| !o.is_void)
+    }
+
+    /// Whether the last order has been without an answer, or with an unclear one, for so long that it is
+    /// sent again.
+    fn is_repeat_due(&self) -> bool {
+        let last = self.sent.last();
+        last.is_none_or(|sent| sent.sent_at.elapsed() >= REPEAT_AFTER_MS)
     }
 }
--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -34,6 +34,8 @@
 const TIDY_INTERVAL_MS: u64 = 500;
 /// Delay after the record of a group could not be read, in ms.
 const READ_RETRY_MS: u64 = 300;
+/// Interval between two readings of the record while an order of another daemon is on its way, in ms.
+const READ_INTERVAL_MS: u64 = 1000;
 /// Delay after a claim was not obtained, in ms.
 const CLAIM_RETRY_MS: u64 = 1200;
 
@@ -51,9 +53,16 @@
             group.reset_failure_signs();
             continue;
         }
-        let must_read = group.must_read_record() || group.is_record_unread();
-        if must_read && read_at.left() == 0 && !read_record(&proxy, &group).await {
-            read_at = Ms::now().plus(READ_RETRY_MS);
+        let must_read =
+            group.must_read_record() || group.is_record_unread() || group.awaits_other_order();
+        if must_read && read_at.left() == 0 {
+            let is_read = read_record(&proxy, &group).await;
+            let delay_ms = if is_read {
+                READ_INTERVAL_MS
+            } else {
+                READ_RETRY_MS
+            };
+            read_at = Ms::now().plus(delay_ms);
         }
         let Some(cause) = cause_of_change(&group) else {
             if group.primary().is_some() {
@@ -66,7 +75,8 @@
             continue;
         };
         sleep_ms(fastrand::u64(..MAX_JITTER_MS)).await;
-        if cause_of_change(&group).is_none() {
+        // The sender of an order that may be on its way makes the change, as long as it lives.
+        if cause_of_change(&group).is_none() || group.awaits_other_order() {
             continue;
         }
         match change_primary(&proxy, &group, cause).await {
@@ -187,6 +197,9 @@
     group: &Rc<Group>,
     cause: FailoverCause,
 ) -> Result<Option<()>, AbortReason> {
+    let Some(order_conn) = (proxy.failover_api.connect)(()).await else {
+        return Err(AbortReason::NoPath);
+    };
     let started_at = Ms::now();
     let old_primary = group.primary();
     let Some(mut claim) = (proxy.failover_api.claim)(group.name.clone()).await else {
@@ -212,7 +225,7 @@
             ("change", &token),
         ],
     );
-    let change = PrimaryChange::new(proxy, group, old_primary, claim, started_at);
+    let change = PrimaryChange::new(proxy, group, old_primary, claim, started_at, order_conn);
     let (result, record) = change.run().await;
     let release = Release {
         group: group.name.clone(),
@@ -236,8 +249,9 @@
 /// Checks whether a change may begin, given the orders that may still take effect.
 ///
 /// # Errors
-/// `Some` if none may: an order to promote the old primary itself may take effect, so that nobody else
-/// may lead before that is settled. `None` if none is needed any more.
+/// `Some` if none may: an order of another sender may be on its way, which a later token must not
+/// overtake, or an order to promote the old primary itself may take effect, so that nobody else may lead
+/// before that is settled. `None` if none is needed any more.
 fn check_orders(
     group: &Group,
     old_primary: Option<&Member>,
@@ -247,6 +261,10 @@
     if cause == FailoverCause::Unfinished && !group.has_unfinished_order() {
         return Err(None);
     }
+    let order_log = group.order_log.borrow();
+    if let Some(order) = order_log.other_on_way(&claim.record.orders) {
+        return Err(Some(AbortReason::OnWay(order.holder.clone())));
+    }
     let is_for_old = |id: &str| old_primary.is_some_and(|p| *p.id == *id);
     let mut orders = claim.record.orders.iter();
     match orders.find(|o| is_for_old(&o.member)) {
--- a/crates/proxy/src/failover_api.rs
+++ b/crates/proxy/src/failover_api.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
+use base::Ms;
 use schema::Pos;
 
 use crate::{MemberRecord, OrderAnswer, PromotionOrder, ReplicaRecordApi};
@@ -19,8 +20,19 @@
 pub struct Promotion {
     pub group: Box<str>,
     pub member: Box<str>,
-    /// Fencing token of the claim under which the promotion is ordered.
+    /// Fencing token under which the promotion is ordered.
     pub token: FencingToken,
+    /// Instant from which on the order is not sent any more.
+    pub until: Ms,
+}
+
+/// A new connection to the platform, which carries one order. Dropping it, or the order, resets it, so that
+/// an order that waits for a path is not sent any more.
+pub struct OrderConn {
+    /// When it was found open.
+    pub opened_at: Ms,
+    /// Sends the order; waits for the answer as long as the connection lasts.
+    pub send: Box<dyn FnOnce(Promotion) -> BoxFuture<OrderAnswer>>,
 }
 
 /// What the holders of a group's claim leave for each other when a change fails.
@@ -32,8 +44,11 @@
     pub last_primary: Option<LastPrimary>,
     /// The newest known leaders, by ascending term; a promotion is added before it is ordered.
     pub leaders: Vec<Leader>,
-    /// The orders that may still take effect, each added before it is sent.
+    /// The orders that may still take effect, each added before it is sent. Those that may still be on
+    /// their way to the platform are of one sender and token.
     pub orders: Vec<PromotionOrder>,
+    /// Highest token of an order of the group so far; 0 if there was none.
+    pub ordered: FencingToken,
     /// Identifiers of departed members whose commits an operator has given up.
     pub accepted_losses: Vec<Box<str>>,
 }
@@ -115,8 +130,8 @@
     pub read_record: AsyncCall<Box<str>, Option<ChangeRecord>>,
     /// Saves a record under a claim; false if it may not have been saved.
     pub save_record: AsyncCall<RecordUpdate, bool>,
-    /// Orders a promotion.
-    pub promote: AsyncCall<Promotion, OrderAnswer>,
+    /// Opens a connection for an order; `None` if the platform cannot be reached.
+    pub connect: AsyncCall<(), Option<OrderConn>>,
     /// Reads the members of a group that the platform lists at the time of the call; `None` when
     /// they cannot be read.
     pub list_members: AsyncCall<Box<str>, Option<Vec<MemberRecord>>>,
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -64,7 +64,7 @@
     /// The member that has last reported to be the primary, and its term.
     last_primary: RefCell<Option<(Box<str>, u64)>>,
     /// The orders of promotions that were last on record.
-    order_log: RefCell<OrderLog>,
+    pub(crate) order_log: RefCell<OrderLog>,
     /// Identifiers of members whose address has another member now. They do not run any more, so that
     /// the platform refuses orders for them.
     replaced_ids: RefCell<HashSet<Box<str>>>,
--- a/crates/proxy/src/group/orders.rs
+++ b/crates/proxy/src/group/orders.rs
@@ -15,7 +15,10 @@
         for order in orders.iter_mut().filter(|o| o.term == 0) {
             order.term = unfinished_term;
         }
-        orders.retain(|o| o.term > 0 && !self.replaced_ids.borrow().contains(&o.member));
+        for order in orders.iter_mut() {
+            order.is_void |= self.replaced_ids.borrow().contains(&order.member);
+        }
+        orders.retain(|o| o.term > 0 && !(o.is_void && o.is_answered));
         if let Some(leader) = self.last_leader() {
             settle(orders, &leader);
         }
@@ -37,7 +40,9 @@
     pub(crate) fn may_serve(&self, orders: &[PromotionOrder]) -> bool {
         let primary = self.primary();
         let is_for_primary = |id: &str| primary.as_ref().is_some_and(|p| *p.id == *id);
-        orders.iter().all(|o| is_for_primary(&o.member))
+        orders
+            .iter()
+            .all(|o| o.is_void || is_for_primary(&o.member))
     }
 
     /// Logs the orders that may still take effect.
@@ -115,6 +120,11 @@
             .is_some_and(|primary| order_log.has_order_for_other(&primary.id, Ms::now()))
     }
 
+    /// Whether an order of another process may be on its way to the platform.
+    pub(crate) fn awaits_other_order(&self) -> bool {
+        self.order_log.borrow().awaits_other(Ms::now())
+    }
+
     /// Whether orders are on record that need not be any more.
     pub(crate) fn has_outdated_orders(&self) -> bool {
         self.order_log.borrow().is_outdated(Ms::now())
--- a/crates/proxy/src/order_answer.rs
+++ b/crates/proxy/src/order_answer.rs
@@ -9,6 +9,8 @@
     Accepted,
     /// It was not carried out, and will not be.
     Refused,
+    /// It has arrived, and the answer does not tell whether it is carried out.
+    Unclear,
     /// It got no answer: it may have been carried out, or may be at any later instant.
     Missing,
 }
@@ -18,6 +20,7 @@
         f.write_str(match self {
             OrderAnswer::Accepted => "accepted",
             OrderAnswer::Refused => "refused",
+            OrderAnswer::Unclear => "unclear",
             OrderAnswer::Missing => "missing",
         })
     }
--- a/crates/proxy/src/promotion_order.rs
+++ b/crates/proxy/src/promotion_order.rs
@@ -6,21 +6,25 @@
 //! could be missing in the log of the ordered member. So each order is on record before it is sent,
 //! and until it is settled every change of primary orders the same member again.
 //!
+//! Tokens never fall at the platform: while an order is on its way, only its sender orders, under the
+//! same token. Any other daemon waits until the order was answered, has taken effect or counts as lost.
+//!
 //! A restore of the store may undo the record of an order. An order for an unknown member then stands for
 //! it until it is seen that no change was unfinished.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::Ms;
 
-use crate::{FencingToken, Leader};
+use crate::{FencingToken, Leader, OrderAnswer};
 
 /// Longest time for which an order without an answer counts as on its way, in ms, from when a daemon
 /// first saw it. Assumption about the platform and the network: an order that has not arrived by then
-/// never will. It matters only where the ordered member does not come back.
+/// never will. It matters only where the ordered member does not come back, or the sender is gone.
 const ORDER_LIFETIME_MS: u64 = 20_000;
-/// As `ORDER_LIFETIME_MS`, for an order that the platform has accepted.
-const ACCEPTED_LIFETIME_MS: u64 = 4000;
+/// Longest time from the answer of an order that the platform has accepted to its effect, in ms.
+/// Assumption about the platform.
+const ACCEPTED_LIFETIME_MS: u64 = 8000;
 
 /// An order to promote a member.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -31,10 +35,16 @@
     pub term: u64,
     /// Name of the VM that sent it; empty if unknown.
     pub holder: Box<str>,
-    /// Token under which it was sent; each order of a group has another.
+    /// Token under which it was sent.
     pub token: FencingToken,
+    /// Number of the order among those of its group and token.
+    pub call: u32,
+    /// Whether it has arrived at the platform, as its answer shows.
+    pub is_answered: bool,
     /// Whether the platform has answered that it carries the order out.
     pub is_accepted: bool,
+    /// Whether it has no effect any more, because its member is gone. It may be on its way all the same.
+    pub is_void: bool,
 }
 
 impl PromotionOrder {
@@ -46,10 +56,29 @@
             term: 0,
             holder: "".into(),
             token,
+            call: 0,
+            is_answered: false,
             is_accepted: false,
+            is_void: false,
         }
     }
 
+    /// Whether it is this order, perhaps in another state.
+    pub fn is_same(&self, other: &PromotionOrder) -> bool {
+        self.key() == other.key()
+    }
+
+    fn key(&self) -> (FencingToken, u32) {
+        (self.token, self.call)
+    }
+
+    /// Takes over what another record of the same order shows.
+    fn merge(&mut self, other: &PromotionOrder) {
+        self.is_answered |= other.is_answered;
+        self.is_accepted |= other.is_accepted;
+        self.is_void |= other.is_void;
+    }
+
     pub fn is_unknown(&self) -> bool {
         self.member.is_empty()
     }
@@ -64,15 +93,15 @@
 /// at most, so further ones to the same member may still do so, in a later term.
 pub fn settle(orders: &mut Vec<PromotionOrder>, leader: &Leader) {
     // Which one it was is not known. The order that is kept is the one that may be on its way for longer.
-    let likely = |o: &&PromotionOrder| (!o.is_accepted, o.token);
+    let likely = |o: &&PromotionOrder| (!o.is_accepted, o.key());
     let settled = orders
         .iter()
         .filter(|o| o.may_have_promoted(leader))
         .min_by_key(likely);
-    let Some(settled) = settled.map(|o| o.token) else {
+    let Some(settled) = settled.map(PromotionOrder::key) else {
         return;
     };
-    orders.retain(|o| o.token != settled);
+    orders.retain(|o| o.key() != settled);
     for order in orders.iter_mut() {
         if order.may_have_promoted(leader) {
             order.term = leader.term + 1;
@@ -84,8 +113,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct OrderLog {
     orders: Vec<PromotionOrder>,
-    /// By token and whether the order was accepted.
-    first_seen: BTreeMap<(FencingToken, bool), Ms>,
+    /// By order and whether it was accepted.
+    first_seen: BTreeMap<((FencingToken, u32), bool), Ms>,
+    /// Token under which this process has last sent orders.
+    sent: Option<FencingToken>,
+    /// Orders under that token that were not sent or were refused. They may be on record: this process may
+    /// not have been able to take them off.
+    refused: BTreeSet<(FencingToken, u32)>,
 }
 
 impl OrderLog {
@@ -93,6 +127,7 @@
     /// store has undone. Those that have been seen for too long to be on their way are removed and
     /// returned.
     pub fn update(&mut self, orders: &mut Vec<PromotionOrder>, now: Ms) -> Vec<PromotionOrder> {
+        orders.retain(|o| !self.refused.contains(&o.key()));
         let is_undone = orders.iter().any(PromotionOrder::is_unknown);
         let is_current = |o: &&PromotionOrder| !o.is_unknown() && !self.is_expired(o, now);
         let current: Vec<PromotionOrder> = self.orders.iter().filter(is_current).cloned().collect();
@@ -101,15 +136,14 @@
         }
         for order in orders.iter_mut() {
             // The sender may not have been able to record the answer.
-            order.is_accepted |= self
-                .orders
-                .iter()
-                .any(|o| o.token == order.token && o.is_accepted);
-            let key = (order.token, order.is_accepted);
+            if let Some(known) = self.orders.iter().find(|o| o.is_same(order)) {
+                order.merge(known);
+            }
+            let key = (order.key(), order.is_accepted);
             self.first_seen.entry(key).or_insert(now);
         }
         self.first_seen
-            .retain(|(token, _), _| orders.iter().any(|o| o.token == *token));
+            .retain(|(key, _), _| orders.iter().any(|o| o.key() == *key));
         let expired = orders.extract_if(.., |o| self.is_expired(o, now)).collect();
         self.orders.clone_from(orders);
         expired
@@ -117,12 +151,82 @@
 
     fn is_expired(&self, order: &PromotionOrder, now: Ms) -> bool {
         let lasted = |is_accepted, lifetime_ms| {
-            let since = self.first_seen.get(&(order.token, is_accepted));
+            let since = self.first_seen.get(&(order.key(), is_accepted));
             since.is_some_and(|since| now >= since.plus(lifetime_ms))
         };
         lasted(false, ORDER_LIFETIME_MS) || order.is_accepted && lasted(true, ACCEPTED_LIFETIME_MS)
     }
 
+    /// Notes that this process is about to send an order under a token.
+    pub fn on_sent(&mut self, token: FencingToken) {
+        self.sent = Some(token);
+        self.refused.retain(|(refused, _)| *refused == token);
+    }
+
+    /// Handles the answer to one of these orders, which this process has sent.
+    pub fn on_answer(
+        &mut self,
+        orders: &mut Vec<PromotionOrder>,
+        order: &PromotionOrder,
+        answer: OrderAnswer,
+    ) {
+        match answer {
+            OrderAnswer::Missing => {}
+            OrderAnswer::Refused => {
+                self.refused.insert(order.key());
+                orders.retain(|o| !o.is_same(order));
+            }
+            OrderAnswer::Unclear | OrderAnswer::Accepted => {
+                for order in orders.iter_mut().filter(|o| o.is_same(order)) {
+                    order.is_answered = true;
+                    order.is_accepted |= answer == OrderAnswer::Accepted;
+                }
+            }
+        }
+    }
+
+    /// Whether this process has sent an order.
+    fn is_own(&self, order: &PromotionOrder) -> bool {
+        self.sent == Some(order.token)
+    }
+
+    /// One of these orders that may be on its way to the platform and was sent by another process.
+    pub fn other_on_way<'a>(&self, orders: &'a [PromotionOrder]) -> Option<&'a PromotionOrder> {
+        let mut others = orders.iter().filter(|o| !self.is_own(o));
+        others.find(|o| !o.is_answered)
+    }
+
+    /// As `other_on_way`, of the orders that were last on record.
+    pub fn awaits_other(&self, now: Ms) -> bool {
+        let current = self.orders.iter().filter(|o| !self.is_expired(o, now));
+        let current: Vec<PromotionOrder> = current.cloned().collect();
+        self.other_on_way(&current).is_some()
+    }
+
+    /// The token under which the next order is sent: that of this process's orders that may be on their
+    /// way, or that of the claim. `ordered` is the highest one of an order so far.
+    pub fn next_token(
+        &self,
+        orders: &[PromotionOrder],
+        claimed: FencingToken,
+        ordered: FencingToken,
+    ) -> FencingToken {
+        let is_on_way = orders.iter().any(|o| self.is_own(o) && !o.is_answered);
+        match self.sent {
+            // Otherwise another daemon has ordered since, and takes the own orders for lost.
+            Some(sent) if is_on_way && sent >= ordered => sent,
+            _ => claimed,
+        }
+    }
+
+    /// The number of the next order under a token, which none of these orders has.
+    pub fn next_call(&self, orders: &[PromotionOrder], token: FencingToken) -> u32 {
+        let on_record = orders.iter().map(PromotionOrder::key);
+        let keys = on_record.chain(self.refused.iter().copied());
+        let calls = keys.filter(|key| key.0 == token).map(|key| key.1);
+        calls.max().map_or(0, |call| call + 1)
+    }
+
     /// Handles that a member has become primary.
     pub fn on_leader(&mut self, leader: &Leader) {
         settle(&mut self.orders, leader);
@@ -130,7 +234,8 @@
 
     /// Whether an order to a member other than this one may still take effect.
     pub fn has_order_for_other(&self, id: &str, now: Ms) -> bool {
-        let is_for_other = |o: &PromotionOrder| *o.member != *id && !self.is_expired(o, now);
+        let is_for_other =
+            |o: &PromotionOrder| !o.is_void && *o.member != *id && !self.is_expired(o, now);
         self.orders.iter().any(is_for_other)
     }
 
@@ -142,7 +247,7 @@
 
     /// For how long this daemon has known an order, in ms.
     pub fn age_ms(&self, order: &PromotionOrder, now: Ms) -> u64 {
-        let seen = [false, true].map(|a| self.first_seen.get(&(order.token, a)));
+        let seen = [false, true].map(|a| self.first_seen.get(&(order.key(), a)));
         let first = seen.into_iter().flatten().min();
         first.map_or(0, |since| now.0 - since.0)
     }
--- a/crates/proxy/tests/late_order_simulation.rs
+++ b/crates/proxy/tests/late_order_simulation.rs
@@ -689,7 +689,10 @@
             term: change.term,
             holder: "vm-1".into(),
             token: change.token,
+            call: 0,
+            is_answered: false,
             is_accepted: false,
+            is_void: false,
         });
         self.save_orders(change.daemon, orders);
         let arrives_at = match self.rng.u8(..6) {
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -2,11 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
 
 use base::Ms;
 use world::{Group, PromotionRequest, World};
 
-use super::trace::{describe_promotion, unix};
+use super::trace::{describe_call, describe_promotion, unix};
 
 /// Violations of one kind that the verdict quotes.
 const MAX_SHOWN_VIOLATIONS: usize = 4;
@@ -178,18 +179,24 @@
         lost
     }
 
-    /// Checks that the fencing tokens of a group never decrease and that each has one holder.
+    /// Checks that the fencing tokens of a group never decrease and that each has one holder, as they were
+    /// sent and as they arrived.
     fn check_promotions(&self, world: &World) {
-        // A sender is not to blame for what happens to its order on the way.
-        let orders = world.order_calls.borrow();
+        self.check_tokens(&world.order_calls.borrow());
+        self.check_tokens(&world.promotions.borrow());
+    }
+
+    fn check_tokens(&self, orders: &[Rc<PromotionRequest>]) {
         let mut last_orders: HashMap<&str, &PromotionRequest> = HashMap::new();
-        for order in orders.iter() {
+        for order in orders {
             let PromotionRequest { token, holder, .. } = &**order;
             if let Some(previous) = last_orders.insert(&order.group, order) {
                 if *token < previous.token {
                     self.record_violation(format!(
-                        "ONE: {holder} used token {token} after token {}",
-                        previous.token
+                        "ONE: {}: {} after {}",
+                        order.group,
+                        describe_call(order),
+                        describe_call(previous)
                     ));
                 }
                 if *token == previous.token && *holder != previous.holder {
--- a/xtask/src/soak/trace.rs
+++ b/xtask/src/soak/trace.rs
@@ -10,7 +10,8 @@
     Ms::unix().saturating_sub(at.elapsed())
 }
 
-fn describe_call(call: &PromotionRequest) -> String {
+/// Token, sender and times of an order.
+pub fn describe_call(call: &PromotionRequest) -> String {
     let arrived_at = call.arrived_at.get().map(unix);
     let arrived_at = arrived_at.map_or("never".to_owned(), |at| at.to_string());
     format!(
