--- a/crates/proxy/src/failover/abort_reason.rs
+++ b/crates/proxy/src/failover/abort_reason.rs
@@ -22,6 +22,10 @@
         OnWay(holder: Box<str>) {
             display("an order of {holder} may be on its way to the platform")
         }
+        /// A restore of the store may have undone the record of an order.
+        UnknownOrder {
+            display("an order of before the store was restored may still take effect")
+        }
         /// Another daemon may have one.
         NoPath {
             display("the platform cannot be reached to order a promotion")
--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -93,15 +93,14 @@
     }
 
     /// Runs the change; returns the new primary, or the step that failed, and the record for the
-    /// next change. Fences are removed if it fails before the promotion was ordered, unless an earlier
-    /// order may take effect.
+    /// next change. Fences are removed if it fails and no order may take effect.
     pub(super) async fn run(mut self) -> (Result<Rc<Member>, AbortReason>, ChangeRecord) {
         let (result, record) = match self.promote().await {
             Ok((candidate, term)) => {
                 self.finish(&candidate, term).await;
                 (Ok(candidate), self.record_after_order())
             }
-            Err(reason) if !self.sent.is_empty() => (Err(reason), self.record_after_order()),
+            Err(reason) if self.has_outstanding_order() => (Err(reason), self.record_after_order()),
             Err(reason) => {
                 let record = self.new_record();
                 if self.group.may_serve(&self.record.orders) {
@@ -127,7 +126,7 @@
             match self.order_promotion().await {
                 Ok(candidate) => ordered = Some(candidate),
                 // What was ordered may take effect although it cannot be ordered again now.
-                Err(_) if !self.sent.is_empty() && self.may_be_promoted() => {
+                Err(_) if self.has_outstanding_order() => {
                     sleep_ms(REPEAT_DELAY_MS).await;
                 }
                 Err(reason) => return Err(reason),
--- a/crates/proxy/src/failover/change/order.rs
+++ b/crates/proxy/src/failover/change/order.rs
@@ -238,7 +238,7 @@
             return longest.ok_or_else(|| "no replica can be promoted".into());
         };
         if order.is_unknown() {
-            return Err("an order of before the store was restored may still take effect".into());
+            return Err(AbortReason::UnknownOrder);
         }
         let ordered = fence_set.iter().find(|m| m.id == order.member);
         let is_only = orders.all(|o| o.member == order.member);
@@ -268,7 +268,7 @@
                 return Ok(Some(leader.term));
             }
             self.poll_answers().await;
-            if !self.may_be_promoted() {
+            if !self.has_outstanding_order() {
                 return Err("the promotion was refused, or took no effect".into());
             }
             let is_accepted = self.record.orders.iter().any(|o| o.is_accepted);
@@ -279,9 +279,13 @@
         }
     }
 
-    /// Whether an order on record may take effect.
-    pub(super) fn may_be_promoted(&self) -> bool {
-        self.record.orders.iter().any(|o| !o.is_void)
+    /// Whether this change has ordered a promotion that may still take effect.
+    pub(super) fn has_outstanding_order(&self) -> bool {
+        let is_outstanding = |sent: &SentOrder| {
+            let mut orders = self.record.orders.iter();
+            orders.any(|o| o.is_same(&sent.order) && !o.is_void)
+        };
+        self.sent.iter().any(is_outstanding)
     }
 
     /// Whether the last order has been without an answer, or with an unclear one, for so long that it is
--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -263,7 +263,11 @@
     }
     let order_log = group.order_log.borrow();
     if let Some(order) = order_log.other_on_way(&claim.record.orders) {
-        return Err(Some(AbortReason::OnWay(order.holder.clone())));
+        return Err(Some(if order.is_unknown() {
+            AbortReason::UnknownOrder
+        } else {
+            AbortReason::OnWay(order.holder.clone())
+        }));
     }
     let is_for_old = |id: &str| old_primary.is_some_and(|p| *p.id == *id);
     let mut orders = claim.record.orders.iter();
