Failover: a fence is not lifted through another daemon

Found by reading, from the rule: what makes the bound of an unanswered call true.

The test failed before: one RESUME was sent through the other daemon. Now a daemon that reaches a member only so leaves the fence to those with a path.

--- a/crates/proxy/src/conn.rs
+++ b/crates/proxy/src/conn.rs
@@ -51,6 +51,9 @@
     pub opened_at: Ms,
     /// When the connection was last released to the pool, or opened.
     pub idle_since: Ms,
+    /// Whether it goes through another daemon, which may hold up what is sent for as long as it stands
+    /// still.
+    pub is_tunneled: bool,
     slot: ConnSlot,
     link: BufferedStream,
     codec: Codec,
@@ -103,7 +106,9 @@
         let link = tunnel::open(peers, slot.member.addr)
             .await
             .map_err(std::io::Error::from)?;
-        Conn::handshake(slot, link, codec, from, timeout_ms).await
+        let mut conn = Conn::handshake(slot, link, codec, from, timeout_ms).await?;
+        conn.is_tunneled = true;
+        Ok(conn)
     }
 
     async fn handshake(
@@ -121,6 +126,7 @@
             member,
             opened_at: Ms::now(),
             idle_since: Ms::now(),
+            is_tunneled: false,
             codec,
             vars: BTreeMap::new(),
             prepared: HashMap::new(),
--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -277,6 +277,7 @@
             }
             if let Ok(status) = self.send(member, &Command::Status).await
                 && status.fenced == self.term
+                && !self.is_tunneled(member)
                 && !self.is_claim_too_old()
             {
                 let sent_at = Ms::now();
@@ -290,6 +291,12 @@
         }
     }
 
+    /// Whether the connection to a member goes through another daemon, which could hold up a command.
+    fn is_tunneled(&self, member: &Member) -> bool {
+        let conn = self.conns.get(&member.key);
+        conn.is_some_and(|c| c.is_tunneled)
+    }
+
     /// Keeps the claim until a command without an answer takes no effect any more: it would lift the
     /// fence of the next change.
     async fn outlast(&self, sent_at: Ms, record: &ChangeRecord) {
--- a/crates/proxy/src/failover/control.rs
+++ b/crates/proxy/src/failover/control.rs
@@ -9,7 +9,7 @@
 /// Timeout of a control command to a member, in ms.
 pub(super) const COMMAND_TIMEOUT_MS: u64 = 400;
 /// Time after which a command that got no answer takes no effect any more, in ms: the member has closed
-/// the connection by then.
+/// the connection by then. That holds for direct connections only.
 pub(super) const MAX_DELIVERY_MS: u64 = 3000;
 /// Age of the claim, since it was taken or renewed, up to which a fence is removed, in ms: a command
 /// without an answer must have lost its effect, after `MAX_DELIVERY_MS`, before another daemon may take
@@ -50,8 +50,8 @@
     Unanswered(Ms),
 }
 
-/// Removes the fence of a change for `term` from a member, unless it is fenced for another one. Nothing
-/// is sent after `until`.
+/// Removes the fence of a change for `term` from a member, unless it is fenced for another one, or is
+/// reached through another daemon only. Nothing is sent after `until`.
 pub(super) async fn remove_fence(
     group: &Rc<Group>,
     member: &Rc<Member>,
@@ -67,7 +67,7 @@
     let Ok(status) = asked else {
         return FenceRemoval::NotSent;
     };
-    if status.fenced != term || until.left() == 0 {
+    if status.fenced != term || conn.is_tunneled || until.left() == 0 {
         group.release(conn);
         return FenceRemoval::NotSent;
     }
