--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -125,8 +125,9 @@
         loop {
             match self.order_promotion().await {
                 Ok(candidate) => ordered = Some(candidate),
-                // What was ordered may take effect although it cannot be ordered again now.
-                Err(_) if self.has_outstanding_order() => {
+                // What was ordered may take effect although it cannot be ordered again now. Nobody else may
+                // order before it has arrived.
+                Err(_) if self.has_recorded_order() => {
                     sleep_ms(REPEAT_DELAY_MS).await;
                 }
                 Err(reason) => return Err(reason),
--- a/crates/proxy/src/failover/change/order.rs
+++ b/crates/proxy/src/failover/change/order.rs
@@ -268,30 +268,37 @@
                 return Ok(Some(leader.term));
             }
             self.poll_answers().await;
-            if !self.has_outstanding_order() {
+            if !self.has_recorded_order() {
                 return Err("the promotion was refused, or took no effect".into());
             }
-            let is_accepted = self.record.orders.iter().any(|o| o.is_accepted);
             self.keep_claim().await?;
-            if !is_accepted && self.is_repeat_due() {
+            if !self.has_outstanding_order() || self.is_repeat_due() {
                 return Ok(None);
             }
         }
     }
 
-    /// Whether this change has ordered a promotion that may still take effect.
+    /// The orders of this change that are on record.
+    fn recorded_orders(&self) -> impl Iterator<Item = &PromotionOrder> {
+        let orders = self.record.orders.iter();
+        orders.filter(|o| self.sent.iter().any(|sent| sent.order.is_same(o)))
+    }
+
+    /// Whether an order of this change may take effect, or may be on its way.
+    pub(super) fn has_recorded_order(&self) -> bool {
+        self.recorded_orders().next().is_some()
+    }
+
+    /// Whether an order of this change may take effect.
     pub(super) fn has_outstanding_order(&self) -> bool {
-        let is_outstanding = |sent: &SentOrder| {
-            let mut orders = self.record.orders.iter();
-            orders.any(|o| o.is_same(&sent.order) && !o.is_void)
-        };
-        self.sent.iter().any(is_outstanding)
+        self.recorded_orders().any(|o| !o.is_void)
     }
 
     /// Whether the last order has been without an answer, or with an unclear one, for so long that it is
-    /// sent again.
+    /// sent again. One that was accepted is not.
     fn is_repeat_due(&self) -> bool {
+        let is_accepted = self.recorded_orders().any(|o| o.is_accepted && !o.is_void);
         let last = self.sent.last();
-        last.is_none_or(|sent| sent.sent_at.elapsed() >= REPEAT_AFTER_MS)
+        !is_accepted && last.is_none_or(|sent| sent.sent_at.elapsed() >= REPEAT_AFTER_MS)
     }
 }
