--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -276,6 +276,7 @@
         if delay_ms > 0 {
             sleep_ms(delay_ms).await;
         }
+        world.await_orders().await;
         world.take_order(request)
     });
     let accepted = delivery.await;
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -29,6 +29,11 @@
 /// Members per group, unless a test asks for more.
 const MEMBER_COUNT: usize = 3;
 
+/// Interval between two checks whether the promotion API is silent, in ms.
+const SILENCE_POLL_MS: u64 = 5;
+/// Time within which it takes the orders that have come while it was silent, in ms.
+const MAX_DISORDER_MS: u64 = 30;
+
 /// Runs a test to completion on a new monoio runtime.
 ///
 /// # Panics
@@ -80,6 +85,9 @@
     pub order_delays: RefCell<HashMap<Box<str>, u64>>,
     /// Fault: time for which each answer of the promotion API is held up, in ms.
     pub order_answer_delay_ms: Cell<u64>,
+    /// Fault: the promotion API is silent. In the end it takes the orders that have come meanwhile in any
+    /// order, also those whose sender has reset the connection.
+    pub orders_silent: Cell<bool>,
     /// Fault: orders of promotions are held up until `deliver_order`, for good without it.
     pub hold_orders: Cell<bool>,
     /// The orders that are held up, oldest first.
@@ -116,6 +124,7 @@
             order_delay_ms: Cell::new(0),
             order_delays: RefCell::default(),
             order_answer_delay_ms: Cell::new(0),
+            orders_silent: Cell::new(false),
             hold_orders: Cell::new(false),
             held_orders: RefCell::default(),
         });
@@ -215,6 +224,17 @@
         accepted
     }
 
+    /// Waits until the promotion API is not silent.
+    pub(crate) async fn await_orders(&self) {
+        if !self.orders_silent.get() {
+            return;
+        }
+        while self.orders_silent.get() {
+            sleep_ms(SILENCE_POLL_MS).await;
+        }
+        sleep_ms(fastrand::u64(..MAX_DISORDER_MS)).await;
+    }
+
     /// Handles an order that has arrived; returns whether it is accepted.
     pub(crate) fn take_order(&self, request: Rc<PromotionRequest>) -> bool {
         request.arrived_at.set(Some(Ms::now()));
--- a/xtask/src/soak/late_orders.rs
+++ b/xtask/src/soak/late_orders.rs
@@ -29,6 +29,10 @@
 const SLOW_ANSWER_MS: (u64, u64) = (50, 3000);
 /// Delay of an answer that no daemon waits for.
 const NO_ANSWER_MS: u64 = 60_000;
+/// Range of the time for which the promotion API is silent.
+const SILENCE_MS: (u64, u64) = (500, 6000);
+/// Range of the time between two silences.
+const SILENCE_INTERVAL_MS: (u64, u64) = (1000, 6000);
 /// Kind of the objects in the store that daemons lock changes of primary with.
 const LOCK_KIND: &str = "duties";
 /// Interval between two checks for an order.
@@ -156,6 +160,17 @@
         }
     }
 
+    /// Lets the promotion API be silent from time to time, for `total_ms`.
+    pub async fn silence(self: Rc<Self>, mut rng: fastrand::Rng, total_ms: u64) {
+        let deadline = Ms::now().plus(total_ms);
+        while deadline.left() > 0 {
+            sleep_ms(rng.u64(SILENCE_INTERVAL_MS.0..SILENCE_INTERVAL_MS.1)).await;
+            self.world.orders_silent.set(true);
+            sleep_ms(rng.u64(SILENCE_MS.0..SILENCE_MS.1)).await;
+            self.world.orders_silent.set(false);
+        }
+    }
+
     /// Waits until all scenarios have ended and every order has arrived.
     pub async fn settle(&self) {
         let calls = &self.world.order_calls;
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -62,6 +62,8 @@
 /// Delays from a promotion order to its effect; each seed takes one in turn, since the daemons may
 /// not rely on any of them.
 const PROMOTION_DELAYS_MS: [u64; 6] = [0, 100, 300, 600, 1000, 3000];
+/// With orders that are held up, the promotion API is silent at times where the seed is a multiple of this.
+const SILENT_SEEDS: u64 = 4;
 /// Number of callers.
 const CALLER_COUNT: usize = 24;
 /// Time after the end of `faults::heal` within which service must recover.
@@ -148,6 +150,7 @@
     }
     // Apart from the other draws, which are the same with and without late orders.
     let mut late_rng = fastrand::Rng::with_seed(!seed);
+    let mut silent_rng = fastrand::Rng::with_seed(seed.rotate_left(1));
     let late_orders = options.late_orders.then(|| LateOrders::new(&world, &fleet));
     if options.late_orders {
         for group in &world.groups {
@@ -160,9 +163,16 @@
         let scenarios = late_orders
             .clone()
             .map(|late_orders| monoio::spawn(late_orders.inject(late_rng.fork(), round_ms)));
+        let silences = late_orders
+            .clone()
+            .filter(|_| seed.is_multiple_of(SILENT_SEEDS))
+            .map(|late_orders| monoio::spawn(late_orders.silence(silent_rng.fork(), round_ms)));
         faults::inject(&world, &fleet, accounts.as_ref(), &mut rng, round_ms).await;
         if let (Some(scenarios), Some(late_orders)) = (scenarios, &late_orders) {
             scenarios.await;
+            if let Some(silences) = silences {
+                silences.await;
+            }
             late_orders.settle().await;
         }
         faults::heal(&world, &fleet).await;
