Failover: an ordered member that lost its log does not vouch for the former leader

A replica shows that it has not led only if it still has what it had received when it was ordered, so the record keeps that.

--- a/crates/proxy/src/failover/change/order.rs
+++ b/crates/proxy/src/failover/change/order.rs
@@ -25,6 +25,7 @@
     pub(super) fn record_after_order(&self) -> ChangeRecord {
         ChangeRecord {
             leaders: self.record.leaders.clone(),
+            ordered_ends: self.record.ordered_ends.clone(),
             orders: self.record.orders.clone(),
             ordered: self.record.ordered,
             ..ChangeRecord::default()
@@ -123,10 +124,12 @@
     /// The order must not be sent.
     async fn record_order(&mut self, candidate: &Member) -> Result<PromotionOrder, AbortReason> {
         let order = self.new_order(candidate)?;
-        self.record.add_leader(Leader {
+        let leader = Leader {
             term: self.term,
             id: candidate.id.clone(),
-        });
+        };
+        let end = self.hold.pos(candidate.key).unwrap_or_default();
+        self.record.add_ordered(leader, end);
         self.record.orders.push(order.clone());
         self.record.ordered = order.token;
         self.group.order_log.borrow_mut().on_sent(order.token);
--- a/crates/proxy/src/failover/change/past.rs
+++ b/crates/proxy/src/failover/change/past.rs
@@ -19,9 +19,13 @@
     listed.find(|m| *m.id == *id).cloned()
 }
 
-/// Tells whether a member is listed among these as a replica.
-fn has_not_led(members: &[Rc<Member>]) -> impl Fn(&str) -> bool {
-    |id| listed(members, id).is_some_and(|m| is_replica(&m))
+/// Tells whether a member is listed among these as a replica with the log that it had when it was ordered
+/// to lead.
+fn has_not_led(record: &ChangeRecord, members: &[Rc<Member>]) -> impl Fn(&str) -> bool {
+    |id| {
+        let has_log = |m: &Member| !record.has_lost_log(id, m.log_end());
+        listed(members, id).is_some_and(|m| is_replica(&m) && has_log(&m))
+    }
 }
 
 fn is_replica(member: &Member) -> bool {
@@ -54,7 +58,9 @@
     pub(super) fn has_last_primary(&self, members: &[Rc<Member>]) -> bool {
         // One on record may have been followed by another since, also by one that was only ordered.
         let is_newest = |last: &&LastPrimary| {
-            let is_followed = self.record.is_followed(last.pos.term, has_not_led(members));
+            let is_followed = self
+                .record
+                .is_followed(last.pos.term, has_not_led(&self.record, members));
             last.pos.term >= self.group.newest_term() && !is_followed
         };
         let recorded = self.record.last_primary.as_ref().filter(is_newest);
@@ -113,7 +119,8 @@
     /// The member that leads the newest term according to the record.
     pub(super) fn recorded_leader(&self, members: &[Rc<Member>]) -> Option<&Leader> {
         let term = self.group.newest_term();
-        self.record.leader_of(term, has_not_led(members))
+        let has_not_led = has_not_led(&self.record, members);
+        self.record.leader_of(term, has_not_led)
     }
 
     /// Whether an operator has given up the commits that only this member may have.
--- a/crates/proxy/src/failover_api.rs
+++ b/crates/proxy/src/failover_api.rs
@@ -44,6 +44,8 @@
     pub last_primary: Option<LastPrimary>,
     /// The newest known leaders, by ascending term; a promotion is added before it is ordered.
     pub leaders: Vec<Leader>,
+    /// What the members among `leaders` had received when they were last ordered to lead.
+    pub ordered_ends: Vec<OrderedEnd>,
     /// The orders that may still take effect, each added before it is sent. Those that may still be on
     /// their way to the platform are of one sender and token.
     pub orders: Vec<PromotionOrder>,
@@ -60,6 +62,14 @@
     pub id: Box<str>,
 }
 
+/// What a member had received when it was ordered to lead. One that has less now has lost its log, and may
+/// have led although it is a replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrderedEnd {
+    pub member: Box<str>,
+    pub end: Pos,
+}
+
 /// Number of leaders that a record keeps: those of a promotion that was ordered and may not have
 /// taken place, of the newest term, and of the one before.
 const MAX_LEADERS: usize = 3;
@@ -72,6 +82,23 @@
         self.leaders.sort_by_key(|l| l.term);
         let surplus = self.leaders.len().saturating_sub(MAX_LEADERS);
         self.leaders.drain(..surplus);
+        let leaders = &self.leaders;
+        self.ordered_ends
+            .retain(|e| leaders.iter().any(|l| l.id == e.member));
+    }
+
+    /// Records that a member is ordered to lead a term, with what it has received.
+    pub fn add_ordered(&mut self, leader: Leader, end: Pos) {
+        let member = leader.id.clone();
+        self.add_leader(leader);
+        self.ordered_ends.retain(|e| e.member != member);
+        self.ordered_ends.push(OrderedEnd { member, end });
+    }
+
+    /// Whether a member lacks what it had received when it was ordered to lead.
+    pub fn has_lost_log(&self, id: &str, end: Pos) -> bool {
+        let mut ends = self.ordered_ends.iter();
+        ends.any(|e| *e.member == *id && end < e.end)
     }
 
     /// Whether a member that `has_not_led` does not vouch for was ordered to lead a later term.
--- a/crates/proxy/src/group/orders.rs
+++ b/crates/proxy/src/group/orders.rs
@@ -96,8 +96,11 @@
     fn check_leaders(&self, record: &ChangeRecord) {
         let has_not_led = |leader: &Leader| {
             let member = self.member(&leader.id).filter(|m| !m.removed.get());
-            let probe = member.and_then(|m| m.last_probe.get());
-            probe.is_some_and(|p| p.term < leader.term)
+            member.is_some_and(|m| {
+                let term = m.last_probe.get().map(|p| p.term);
+                let is_before = term.is_some_and(|term| term < leader.term);
+                is_before && !record.has_lost_log(&m.id, m.log_end())
+            })
         };
         let ordered = record.leaders.iter().filter(|l| !has_not_led(l));
         let term = ordered.map(|l| l.term).max().unwrap_or(0);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -68,7 +68,7 @@
 pub use failover::{AbortReason, AbortSeries};
 pub use failover_api::{
     AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Leader,
-    OrderConn, Promotion, RecordUpdate, Release,
+    OrderConn, OrderedEnd, Promotion, RecordUpdate, Release,
 };
 pub use failure_detector::{FailoverCause, PrimaryHealth, detect_failure};
 pub use fence::{Demotion, FenceHold, FenceReport};
--- a/crates/proxy/tests/failover_record.rs
+++ b/crates/proxy/tests/failover_record.rs
@@ -1,6 +1,7 @@
 //! What daemons leave for each other about changes of primary, and how often they try again.
 
 use proxy::{AbortReason, AbortSeries, ChangeRecord, Leader};
+use schema::Pos;
 
 fn record(leaders: &[(u64, &str)]) -> ChangeRecord {
     let mut record = ChangeRecord::default();
@@ -77,3 +78,27 @@
     assert!(series.record(&AbortReason::Step("the claim is too old")));
     assert!(!series.is_blocked());
 }
+
+/// Guards against a member that has lost its log since it was ordered to lead, and counts as one that has
+/// not led.
+#[test]
+fn a_member_with_less_than_when_it_was_ordered_has_lost_its_log() {
+    let pos = |log| Pos { term: 1, log };
+    let ordered = |term| Leader {
+        term,
+        id: "a".into(),
+    };
+    let mut record = ChangeRecord::default();
+    record.add_ordered(ordered(2), pos(7));
+    assert!(record.has_lost_log("a", pos(6)) && !record.has_lost_log("a", pos(7)));
+    assert!(!record.has_lost_log("b", pos(0)), "not ordered");
+    record.add_ordered(ordered(3), pos(5));
+    assert!(!record.has_lost_log("a", pos(5)), "ordered with less since");
+    for term in 4..7 {
+        record.add_leader(Leader {
+            term,
+            id: "b".into(),
+        });
+    }
+    assert!(!record.has_lost_log("a", pos(0)), "no leader on record");
+}
