--- a/crates/proxy/src/failover/change.rs
+++ b/crates/proxy/src/failover/change.rs
@@ -1,6 +1,7 @@
 //! One primary change: demotes the old primary, fences the replicas, promotes one, and lets the
 //! others follow it.
 
+mod candidate;
 mod order;
 mod past;
 mod sent_order;
