--- a/crates/proxy/src/promotion_order.rs
+++ b/crates/proxy/src/promotion_order.rs
@@ -192,15 +192,17 @@
 
     /// One of these orders that may be on its way to the platform and was sent by another process.
     pub fn other_on_way<'a>(&self, orders: &'a [PromotionOrder]) -> Option<&'a PromotionOrder> {
-        let mut others = orders.iter().filter(|o| !self.is_own(o));
-        others.find(|o| !o.is_answered)
+        orders.iter().find(|o| self.is_other_on_way(o))
+    }
+
+    fn is_other_on_way(&self, order: &PromotionOrder) -> bool {
+        !order.is_answered && !self.is_own(order)
     }
 
     /// As `other_on_way`, of the orders that were last on record.
     pub fn awaits_other(&self, now: Ms) -> bool {
-        let current = self.orders.iter().filter(|o| !self.is_expired(o, now));
-        let current: Vec<PromotionOrder> = current.cloned().collect();
-        self.other_on_way(&current).is_some()
+        let mut others = self.orders.iter().filter(|o| self.is_other_on_way(o));
+        others.any(|o| !self.is_expired(o, now))
     }
 
     /// The token under which the next order is sent: that of this process's orders that may be on their
