Orders on their way: a VM goes on with those of its former process

The platform tells senders apart by name and token, and a former process of a VM has ended before the next one starts; so an order is a VM's own by the name on record, also after a restart, and is repeated under its token at once. Locks assume the same.

--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -133,7 +133,7 @@
             recorded: Recorded::default(),
             no_primary_since: Cell::new(None),
             last_primary: RefCell::default(),
-            order_log: RefCell::default(),
+            order_log: RefCell::new(OrderLog::new(&settings.name)),
             replaced_ids: RefCell::default(),
             fence_seen: Cell::new(0),
             record_read: Cell::new(None),
--- a/crates/proxy/src/group/orders.rs
+++ b/crates/proxy/src/group/orders.rs
@@ -123,7 +123,7 @@
             .is_some_and(|primary| order_log.has_order_for_other(&primary.id, Ms::now()))
     }
 
-    /// Whether an order of another process may be on its way to the platform.
+    /// Whether an order of another VM may be on its way to the platform.
     pub(crate) fn awaits_other_order(&self) -> bool {
         self.order_log.borrow().awaits_other(Ms::now())
     }
--- a/crates/proxy/src/promotion_order.rs
+++ b/crates/proxy/src/promotion_order.rs
@@ -110,19 +110,29 @@
 }
 
 /// The orders of a group that were last on record, and when this daemon first saw each.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct OrderLog {
+    /// Name of this VM.
+    name: Box<str>,
     orders: Vec<PromotionOrder>,
     /// By order and whether it was accepted.
     first_seen: BTreeMap<((FencingToken, u32), bool), Ms>,
-    /// Token under which this process has last sent orders.
-    sent: Option<FencingToken>,
-    /// Orders under that token that were not sent or were refused. They may be on record: this process may
-    /// not have been able to take them off.
+    /// Orders under the last token of this process that were not sent or were refused. They may be on
+    /// record: this process may not have been able to take them off.
     refused: BTreeSet<(FencingToken, u32)>,
 }
 
 impl OrderLog {
+    /// Of a daemon on the VM of this name.
+    pub fn new(name: &str) -> OrderLog {
+        OrderLog {
+            name: name.into(),
+            orders: Vec::new(),
+            first_seen: BTreeMap::new(),
+            refused: BTreeSet::new(),
+        }
+    }
+
     /// Takes over the orders on record. Those that this daemon knows stand in for what a restore of the
     /// store has undone. Those that have been seen for too long to be on their way are removed and
     /// returned.
@@ -159,7 +169,6 @@
 
     /// Notes that this process is about to send an order under a token.
     pub fn on_sent(&mut self, token: FencingToken) {
-        self.sent = Some(token);
         self.refused.retain(|(refused, _)| *refused == token);
     }
 
@@ -185,12 +194,13 @@
         }
     }
 
-    /// Whether this process has sent an order.
+    /// Whether an order was sent by this VM. A former process of it has ended, and the platform tells senders
+    /// apart by name and token: a new one goes on where that has ceased.
     fn is_own(&self, order: &PromotionOrder) -> bool {
-        self.sent == Some(order.token)
+        order.holder == self.name
     }
 
-    /// One of these orders that may be on its way to the platform and was sent by another process.
+    /// One of these orders that may be on its way to the platform and was sent by another VM.
     pub fn other_on_way<'a>(&self, orders: &'a [PromotionOrder]) -> Option<&'a PromotionOrder> {
         orders.iter().find(|o| self.is_other_on_way(o))
     }
@@ -205,18 +215,18 @@
         others.any(|o| !self.is_expired(o, now))
     }
 
-    /// The token under which the next order is sent: that of this process's orders that may be on their
-    /// way, or that of the claim. `ordered` is the highest one of an order so far.
+    /// The token under which the next order is sent: that of this VM's orders that may be on their way, or
+    /// that of the claim. `ordered` is the highest one of an order so far.
     pub fn next_token(
         &self,
         orders: &[PromotionOrder],
         claimed: FencingToken,
         ordered: FencingToken,
     ) -> FencingToken {
-        let is_on_way = orders.iter().any(|o| self.is_own(o) && !o.is_answered);
-        match self.sent {
+        let on_way = orders.iter().filter(|o| self.is_own(o) && !o.is_answered);
+        match on_way.map(|o| o.token).max() {
             // Otherwise another daemon has ordered since, and takes the own orders for lost.
-            Some(sent) if is_on_way && sent >= ordered => sent,
+            Some(sent) if sent >= ordered => sent,
             _ => claimed,
         }
     }
