Failover: an unknown order that was found to be none is taken off the record

It is taken off the record before anything is fenced, by one write for the first change after a restore.

--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -15,7 +15,9 @@
 
 use base::{Event, Ms, emit, sleep_ms};
 
-use crate::{Claim, FailoverCause, FencingToken, Group, Member, Proxy, Release, detect_failure};
+use crate::{
+    Claim, FailoverCause, FencingToken, Group, Member, Proxy, RecordUpdate, Release, detect_failure,
+};
 use change::PrimaryChange;
 
 pub use abort_reason::{AbortReason, AbortSeries};
@@ -205,7 +207,16 @@
     let Some(mut claim) = (proxy.failover_api.claim)(group.name.clone()).await else {
         return Ok(None);
     };
+    let had_unknown = claim.record.has_unknown_order();
     group.update_orders(&mut claim.record.orders);
+    if had_unknown && !claim.record.has_unknown_order() {
+        // Otherwise the fences of this change would make it count again, should this daemon end.
+        let update = RecordUpdate {
+            group: group.name.clone(),
+            record: claim.record.clone(),
+        };
+        (proxy.failover_api.save_record)(update).await;
+    }
     if let Err(reason) = check_orders(group, old_primary.as_deref(), &claim, cause) {
         let release = Release {
             group: group.name.clone(),
--- a/crates/proxy/src/failover_api.rs
+++ b/crates/proxy/src/failover_api.rs
@@ -95,6 +95,11 @@
         self.ordered_ends.push(OrderedEnd { member, end });
     }
 
+    /// Whether a restore of the store may have undone the record of an order.
+    pub(crate) fn has_unknown_order(&self) -> bool {
+        self.orders.iter().any(PromotionOrder::is_unknown)
+    }
+
     /// Whether a member lacks what it had received when it was ordered to lead.
     pub fn has_lost_log(&self, id: &str, end: Pos) -> bool {
         let mut ends = self.ordered_ends.iter();
