--- a/crates/proxy/src/failover/mod.rs
+++ b/crates/proxy/src/failover/mod.rs
@@ -16,7 +16,8 @@
 use base::{Event, Ms, emit, sleep_ms};
 
 use crate::{
-    Claim, FailoverCause, FencingToken, Group, Member, Proxy, RecordUpdate, Release, detect_failure,
+    Claim, FailoverCause, FencingToken, Group, Member, OrderConn, Proxy, RecordUpdate, Release,
+    detect_failure,
 };
 use change::PrimaryChange;
 
@@ -45,6 +46,8 @@
 pub async fn run(proxy: Rc<Proxy>, group: Rc<Group>) {
     let mut aborts = AbortSeries::default();
     let (mut tidy_at, mut read_at) = (Ms(0), Ms(0));
+    // Whether the platform could not be reached the last time.
+    let mut was_cut_off = false;
     loop {
         let before = Ms::now();
         sleep_ms(POLL_INTERVAL_MS).await;
@@ -81,7 +84,18 @@
         if cause_of_change(&group).is_none() || group.awaits_other_order() {
             continue;
         }
-        match change_primary(&proxy, &group, cause).await {
+        let order_conn = (proxy.failover_api.connect)(()).await;
+        if order_conn.is_some() && std::mem::take(&mut was_cut_off) {
+            // The members may have been out of reach for the same reason.
+            group.reset_failure_signs();
+            continue;
+        }
+        was_cut_off = order_conn.is_none();
+        let result = match order_conn {
+            Some(conn) => change_primary(&proxy, &group, cause, conn).await,
+            None => Err(AbortReason::NoPath),
+        };
+        match result {
             Ok(Some(())) => {}
             Ok(None) => sleep_ms(CLAIM_RETRY_MS).await,
             Err(reason) => {
@@ -198,10 +212,8 @@
     proxy: &Proxy,
     group: &Rc<Group>,
     cause: FailoverCause,
+    order_conn: OrderConn,
 ) -> Result<Option<()>, AbortReason> {
-    let Some(order_conn) = (proxy.failover_api.connect)(()).await else {
-        return Err(AbortReason::NoPath);
-    };
     let started_at = Ms::now();
     let old_primary = group.primary();
     let Some(mut claim) = (proxy.failover_api.claim)(group.name.clone()).await else {
