Stop: log the statements that the end of the process leaves unanswered

Cause: a planned stop logged only how many sessions it cut (H772).

Change: each statement registers its progress from its arrival to its answer. At the end of the process, those that are left are logged (H715: id, stage, time waited), and H772 counts them. The phases of a stop are one type in the proxy crate, in place of three flags and a loop in the adapter, so that tests can run a whole stop in process. Times are as before.

The tests of stops, hand-offs and quotas pass.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -7,6 +7,7 @@
 use schema::Pos;
 
 use crate::group::{ConnRequest, Refusal};
+use crate::progress::{Progress, Stage};
 use crate::quota::Charge;
 use crate::routing::{Requirement, read_requirement};
 use crate::stats::ReadLabels;
@@ -33,8 +34,7 @@
     /// For an `Execute`: the prepared statement and its arguments.
     pub prepared: Option<(&'a PreparedStatement, &'a str)>,
     pub write: bool,
-    /// When it was read from the caller.
-    pub arrival: Ms,
+    pub progress: &'a Progress,
 }
 
 impl StatementTask<'_> {
@@ -43,6 +43,11 @@
         self.prepared.map(|(prepared, _)| prepared)
     }
 
+    /// When it was read from the caller.
+    pub fn arrival(&self) -> Ms {
+        self.progress.arrival
+    }
+
     /// Sends the statement on a connection and reads the reply.
     ///
     /// `after` is the position that the member's log must contain.
@@ -54,6 +59,21 @@
         conn: &mut Conn,
         after: Option<Pos>,
         timeout_ms: u64,
+    ) -> Result<Reply, ConnError> {
+        self.progress.stage.set(Stage::Reply);
+        let result = self.run_on(conn, after, timeout_ms).await;
+        let kind = result.as_ref().ok().and_then(Reply::error_kind);
+        if kind.is_some_and(ErrorKind::is_not_run) {
+            self.progress.stage.set(Stage::Connection);
+        }
+        result
+    }
+
+    async fn run_on(
+        &self,
+        conn: &mut Conn,
+        after: Option<Pos>,
+        timeout_ms: u64,
     ) -> Result<Reply, ConnError> {
         let id = &self.statement.id;
         let Some((prepared, args)) = self.prepared else {
@@ -185,6 +205,7 @@
     /// # Errors
     /// The `Busy` reply when the account is over its rate.
     pub async fn charge(&self, task: &StatementTask<'_>) -> Result<(), Reply> {
+        task.progress.stage.set(Stage::RateLimit);
         let result = self.charge.admit(self.identity, self.deadline).await;
         result.inspect_err(|_| self.log_over_rate(task))
     }
@@ -206,7 +227,7 @@
                 ("group", &self.group.name),
                 ("kind", &format!("{:?}", ErrorKind::Busy)),
                 ("cause", &"OverRate"),
-                ("waited", &task.arrival.elapsed()),
+                ("waited", &task.arrival().elapsed()),
             ],
         );
     }
@@ -221,7 +242,8 @@
         task: &StatementTask<'_>,
         attempts: &Attempts,
     ) -> Result<Conn, Reply> {
-        let rank = self.rank(task.arrival);
+        task.progress.stage.set(Stage::Connection);
+        let rank = self.rank(task.arrival());
         let account = self.identity.map(|identity| identity.account);
         let request = ConnRequest {
             requirement,
@@ -232,8 +254,9 @@
             is_new: self.retries.get() == 0,
         };
         let result = self.group.acquire(request).await;
-        self.wait_ms.set(task.arrival.elapsed());
+        self.wait_ms.set(task.arrival().elapsed());
         if let Ok(conn) = &result {
+            task.progress.stage.set(Stage::SetUp);
             self.member.replace(conn.member.id.clone());
             self.read_labels
                 .replace(Some(self.labels_for(requirement, &conn.member)));
@@ -274,7 +297,7 @@
                 ("kind", &format!("{:?}", ErrorKind::Busy)),
                 ("cause", &format!("{refusal:?}")),
                 ("last", &format!("{:?}", attempts.last_error)),
-                ("waited", &task.arrival.elapsed()),
+                ("waited", &task.arrival().elapsed()),
                 ("queue", &self.group.queue_len()),
                 ("lease_left", &self.group.lease_until().left()),
             ],
@@ -402,6 +425,7 @@
     /// it does not in time: the member might have been replaced as primary already, and the write
     /// might be missing from the new one.
     pub async fn confirm_lease(&self, task: &StatementTask<'_>, reply: Reply) -> Reply {
+        task.progress.stage.set(Stage::Lease);
         let answered_at = Ms::now();
         let term = reply.pos.map_or(0, |p| p.term);
         let wait_deadline = answered_at.plus(LEASE_WAIT_MS);
@@ -435,7 +459,7 @@
         return refusal;
     }
     loop {
-        let requirement = match cx.requirement(task.write, task.arrival) {
+        let requirement = match cx.requirement(task.write, task.arrival()) {
             Ok(requirement) => requirement,
             Err(refusal) => return refusal,
         };
@@ -458,6 +482,7 @@
         }
         let after = cx.named_position(requirement);
         let sent_at = Ms::now();
+        task.progress.writes.set(task.write);
         if task.write {
             cx.group.pending_writes.borrow_mut().push(sent_at);
         }
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -9,7 +9,7 @@
 
 /// Logs the outcome of a statement and updates the metrics.
 pub fn record_outcome(proxy: &Proxy, cx: &StatementContext, task: &StatementTask, reply: &Reply) {
-    let took = task.arrival.elapsed();
+    let took = task.arrival().elapsed();
     let outcome = match reply.error_kind() {
         None => Outcome::Served,
         Some(ErrorKind::InDoubt) => Outcome::InDoubt,
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -13,6 +13,8 @@
 use crate::exec::{StatementContext, StatementTask, run_single};
 use crate::key_check::KeyCheck;
 use crate::outcome::record_outcome;
+use crate::progress::{Progress, Stage};
+use crate::shutdown::Phase;
 use crate::statement::SessionVars;
 use crate::transaction::Transaction;
 use crate::{
@@ -61,6 +63,11 @@
     Closed,
 }
 
+/// Whether the daemon ends its sessions inside transactions too.
+fn is_forced(proxy: &Proxy) -> bool {
+    proxy.shutdown.phase() >= Phase::Ending
+}
+
 /// Reads the caller's next message.
 pub async fn read_request(codec: Codec, link: &mut BufferedStream) -> SessionEvent {
     loop {
@@ -121,7 +128,7 @@
     fn should_end(&self, proxy: &Proxy) -> bool {
         let is_leaving = self.is_draining(proxy) || self.is_misplaced;
         let may_leave = is_leaving && self.tx_state == TxState::Idle;
-        proxy.force_end.get() || self.key.is_withdrawn() || may_leave
+        is_forced(proxy) || self.key.is_withdrawn() || may_leave
     }
 
     /// Decides whether the session moves to an owner of its group.
@@ -182,7 +189,7 @@
                     self.deny(proxy, link).await;
                     return;
                 }
-                Request::Run(statement) => self.run_statement(proxy, &statement).await,
+                Request::Run(statement) => self.answer(proxy, &statement).await,
                 Request::Connect { .. } => self.malformed("the session has begun"),
                 Request::Unknown { text } => self.malformed(&text),
             };
@@ -217,7 +224,7 @@
         read_arrived(link).await;
         // A statement may be on its way from the daemon that handed the session off; this answers
         // it.
-        let may_be_sent = self.origin.is_some() && !proxy.force_end.get();
+        let may_be_sent = self.origin.is_some() && !is_forced(proxy);
         if may_be_sent || !link.input.is_empty() {
             self.deny(proxy, link).await;
             return;
@@ -230,7 +237,7 @@
     /// connection is only closed: it may take an error for the answer to its next statement.
     async fn send_away(&self, proxy: &Proxy, link: &mut BufferedStream) {
         // In doubt, nothing may be promised about the transaction.
-        if self.tx_in_doubt || self.origin.is_none() || proxy.force_end.get() {
+        if self.tx_in_doubt || self.origin.is_none() || is_forced(proxy) {
             return;
         }
         let reply = Reply::error(ErrorKind::Busy, ENDED);
@@ -320,8 +327,18 @@
         }
     }
 
-    async fn run_statement(&mut self, proxy: &Rc<Proxy>, statement: &Statement) -> Reply {
-        let arrival = Ms::now();
+    /// Runs a statement, which counts as unanswered meanwhile.
+    async fn answer(&mut self, proxy: &Rc<Proxy>, statement: &Statement) -> Reply {
+        let progress = proxy.shutdown.on_statement(&statement.id);
+        self.run_statement(proxy, statement, &progress).await
+    }
+
+    async fn run_statement(
+        &mut self,
+        proxy: &Rc<Proxy>,
+        statement: &Statement,
+        progress: &Progress,
+    ) -> Reply {
         let ends_tx = matches!(statement.verb, Verb::Commit | Verb::Rollback);
         if self.tx_state == TxState::Failed && !ends_tx {
             return self.malformed("the transaction has failed");
@@ -338,7 +355,11 @@
                 if self.tx_state != TxState::Idle {
                     return self.malformed("a transaction is open");
                 }
-                self.tx = Some(Transaction::new(*read_only, arrival, &statement.id));
+                self.tx = Some(Transaction::new(
+                    *read_only,
+                    progress.arrival,
+                    &statement.id,
+                ));
                 self.tx_state = TxState::Open;
                 self.tx_in_doubt = false;
                 self.with_session_state(Reply::ok())
@@ -355,14 +376,14 @@
                 self.prepared.remove(name);
                 self.with_session_state(Reply::ok())
             }
-            Verb::Rollback => self.roll_back(proxy, &statement.id).await,
-            Verb::Commit => self.commit(proxy, statement, arrival).await,
+            Verb::Rollback => self.roll_back(proxy, progress).await,
+            Verb::Commit => self.commit(proxy, statement, progress).await,
             Verb::Read | Verb::Write => {
                 let task = StatementTask {
                     statement,
                     prepared: None,
                     write: statement.verb == Verb::Write,
-                    arrival,
+                    progress,
                 };
                 self.run_task(proxy, task).await
             }
@@ -374,24 +395,30 @@
                     statement,
                     prepared: Some((&prepared, args)),
                     write: prepared.write,
-                    arrival,
+                    progress,
                 };
                 self.run_task(proxy, task).await
             }
         }
     }
 
-    async fn roll_back(&mut self, proxy: &Rc<Proxy>, id: &str) -> Reply {
+    async fn roll_back(&mut self, proxy: &Rc<Proxy>, progress: &Progress) -> Reply {
         if let Some(tx) = self.tx.take()
             && let Some((_, group)) = proxy.route(&self.database)
         {
-            tx.roll_back(&group, Some(id)).await;
+            progress.stage.set(Stage::Rollback);
+            tx.roll_back(&group, Some(&progress.id)).await;
         }
         self.tx_state = TxState::Idle;
         self.with_session_state(Reply::ok())
     }
 
-    async fn commit(&mut self, proxy: &Rc<Proxy>, statement: &Statement, arrival: Ms) -> Reply {
+    async fn commit(
+        &mut self,
+        proxy: &Rc<Proxy>,
+        statement: &Statement,
+        progress: &Progress,
+    ) -> Reply {
         let failed = self.tx_state == TxState::Failed;
         self.tx_state = TxState::Idle;
         let in_doubt = std::mem::take(&mut self.tx_in_doubt);
@@ -411,7 +438,7 @@
             statement,
             prepared: None,
             write: false,
-            arrival,
+            progress,
         };
         let cx = StatementContext::new(
             proxy,
@@ -419,7 +446,7 @@
             &route,
             self.identity,
             self.last_write,
-            arrival,
+            progress.arrival,
         );
         let reply = tx.commit(&cx, &task, &self.vars).await;
         record_outcome(proxy, &cx, &task, &reply);
@@ -437,7 +464,7 @@
             &route,
             self.identity,
             self.last_write,
-            task.arrival,
+            task.arrival(),
         );
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &task, &self.vars).await,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,6 +8,7 @@
 use base::{Ms, Signal, sleep_ms};
 
 use crate::owner_set::{OwnerBasis, OwnerSet};
+use crate::shutdown::{Phase, Shutdown};
 use crate::{
     AccountKey, Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers,
     Placement, Quota, QuotaApi, Route, Settings, Stats, tunnel,
@@ -54,12 +55,8 @@
     /// Number of open sessions, from the arrival of the connection on, including those that this
     /// daemon has handed off.
     pub sessions: Cell<u64>,
-    /// Whether all sessions end as soon as they are between transactions.
-    pub draining: Cell<bool>,
-    /// Whether the daemon has been told to stop; it takes no session from other daemons any more.
-    is_stopping: Cell<bool>,
-    /// Whether all sessions end even inside transactions, unless an answer is outstanding.
-    pub force_end: Cell<bool>,
+    /// The planned stop of this daemon.
+    pub(crate) shutdown: Shutdown,
     /// VMs that have announced that they are stopping, and when.
     stopping_vms: RefCell<HashMap<Box<str>, Ms>>,
     /// Notified when sessions must check whether they are to end.
@@ -93,9 +90,7 @@
             peers: Rc::default(),
             stats: Stats::default(),
             sessions: Cell::new(0),
-            draining: Cell::new(false),
-            is_stopping: Cell::new(false),
-            force_end: Cell::new(false),
+            shutdown: Shutdown::default(),
             stopping_vms: RefCell::default(),
             stop_signal: Signal::default(),
             pending_members: RefCell::default(),
@@ -178,31 +173,35 @@
         members.any(|m| m.addr == addr && m.last_heard.get().elapsed() <= MAX_TUNNEL_SILENCE_MS)
     }
 
-    /// Refuses further sessions from other daemons, which hand them to another owner.
-    pub fn begin_stop(&self) {
-        self.is_stopping.set(true);
-    }
-
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+    /// Whether the daemon has been told to stop; it takes no session from other daemons any more.
+    pub fn is_stopping(&self) -> bool {
+        self.shutdown.phase() > Phase::Serving
     }
 
     /// Ends all sessions once they are between transactions, including those handed off to other
     /// daemons; releases the locks of the rate limits.
     pub fn drain_sessions(&self) {
-        self.begin_stop();
-        self.draining.set(true);
-        self.quota.stop();
-        self.stop_signal.notify();
-        // Only these serve sessions of this daemon; a session handed off later announces the stop
-        // itself.
-        tunnel::announce_stop(self.peers.hand_off_targets(), &self.settings.name);
+        self.enter_phase(Phase::Draining);
     }
 
     /// Ends all sessions, even inside transactions, as soon as no answer is outstanding.
     pub fn end_sessions(&self) {
-        self.force_end.set(true);
+        self.enter_phase(Phase::Ending);
+    }
+
+    /// Goes on to a phase of the stop, unless it has been reached.
+    pub(crate) fn enter_phase(&self, phase: Phase) {
+        let before = self.shutdown.advance(phase);
+        if phase <= before || phase < Phase::Draining {
+            return;
+        }
         self.stop_signal.notify();
+        if before < Phase::Draining {
+            self.quota.stop();
+            // Only these serve sessions of this daemon; a session handed off later announces the
+            // stop itself.
+            tunnel::announce_stop(self.peers.hand_off_targets(), &self.settings.name);
+        }
     }
 
     /// Ends the sessions that a VM has handed off, once they are between transactions.
@@ -220,7 +219,7 @@
                 .get(vm)
                 .is_some_and(|at: &Ms| at.elapsed() <= STOP_NOTICE_TTL_MS)
         };
-        self.draining.get() || origin.is_some_and(recent)
+        self.shutdown.phase() >= Phase::Draining || origin.is_some_and(recent)
     }
 
     /// The owners of a group that may serve a session before this daemon does, in the order in which
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -223,6 +223,7 @@
             return refusal;
         }
         let sent_at = Ms::now();
+        task.progress.writes.set(self.wrote);
         if self.wrote {
             cx.group.pending_writes.borrow_mut().push(sent_at);
         }
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -13,6 +13,7 @@
 use crate::closing::{close_after_reply, read_arrived};
 use crate::key_check::KeyCheck;
 use crate::session::ENDED;
+use crate::shutdown::Phase;
 use crate::{ErrorKind, Identity, Peer, Proxy, Reply, ReplyEnd, ReplyPart, SessionRequest};
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
@@ -46,7 +47,7 @@
         if let Ok((_, Some(version))) | Err(PeerError::Refused(Some(version))) = &answer {
             proxy.hear_version(*version, &peer.name);
         }
-        if answer.is_ok() && proxy.draining.get() {
+        if answer.is_ok() && proxy.shutdown.phase() >= Phase::Draining {
             announce_stop(vec![peer.clone()], &proxy.settings.name);
         }
         // An answer without a version is from an earlier release, which would wait for the first
@@ -100,7 +101,7 @@
 impl Forwarder<'_> {
     /// Forwards both ways until one side closes. It also ends
     /// - once the caller's key is withdrawn, between transactions;
-    /// - once `Proxy::force_end` is set and no reply is due, after `REPLY_SILENCE_MS` without bytes;
+    /// - once the stop is in its last phase and no reply is due, after `REPLY_SILENCE_MS` without bytes;
     /// - when the owner sends what no message has asked for, which it does only to end a session.
     async fn run(
         &mut self,
@@ -124,7 +125,7 @@
             owner.send(&requests).await?;
             caller.release_buffer();
             owner.release_buffer();
-            let is_closing = self.proxy.force_end.get()
+            let is_closing = self.proxy.shutdown.phase() >= Phase::Ending
                 && !self.exchange.is_reply_due()
                 && !self.exchange.is_request_cut();
             // Further statements of a withdrawn key are not read before their turn.
