Stop: every statement is answered before the process ends

What callers saw: a statement that a stopping daemon had read was cut without an answer 0.5 s before the end of the grace period; the caller could not tell this from a crash.

Cause: the end of the process was a moment that only the loop of the stop knew. A statement waited (for a rate, a connection, a primary, a member, a lease) for the timeout of its route, and at the end the process closed what was left.

Change: when a stop begins, the instant of the last answers is fixed (0.4 s before the kill, a quarter of a short grace period). The deadline of a statement is at most that instant, so that the queue refuses what cannot be served by then. The process ends 0.1 s before the kill in place of 0.5 s. The forced end of open transactions begins 0.9 s before the last answers as before, but not in the first half of a short grace period.

Why this works: no wait can outlast the instant, since the wait itself is dropped; the stage that decides the answer is set where the bytes are sent.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -123,6 +123,7 @@
     /// Newest position in the replies to the session's successful commits and writes outside
     /// transactions.
     pub last_write: Pos,
+    /// When the timeout of the route is over, or the stop of the daemon requires the answer.
     pub deadline: Ms,
     /// Identifier of the member that was chosen last; empty before the first attempt.
     pub member: RefCell<Box<str>>,
@@ -149,7 +150,7 @@
             identity,
             charge: Charge::new(proxy),
             last_write,
-            deadline: arrival.plus(route.timeout),
+            deadline: arrival.plus(route.timeout).min(proxy.shutdown.answer_by()),
             member: RefCell::default(),
             wait_ms: Cell::new(0),
             read_labels: RefCell::default(),
@@ -213,8 +214,12 @@
     /// Records that the operation is about to be sent to a member.
     ///
     /// # Errors
-    /// The `Busy` reply when what it was charged has expired while it waited.
+    /// The `Busy` reply when no time is left for the reply, or what the operation was charged has
+    /// expired while it waited.
     pub fn mark_sent(&self, task: &StatementTask<'_>) -> Result<(), Reply> {
+        if self.deadline.left() == 0 {
+            return Err(self.refuse(task, Refusal::Late, &Attempts::default()));
+        }
         let result = self.charge.mark_sent();
         result.inspect_err(|_| self.log_over_rate(task))
     }
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -45,4 +45,14 @@
             writes: Cell::new(false),
         }
     }
+
+    /// Whether a member may have run the statement.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self.stage.get(), Stage::Reply | Stage::Lease)
+    }
+
+    /// Whether the statement may have changed data.
+    pub fn may_have_written(&self) -> bool {
+        self.may_have_run() && self.writes.get()
+    }
 }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Ms;
+use base::{Event, Ms, emit};
 use bytes::BytesMut;
 use link::BufferedStream;
 use schema::Pos;
@@ -238,6 +238,10 @@
     async fn send_away(&self, proxy: &Proxy, link: &mut BufferedStream) {
         // In doubt, nothing may be promised about the transaction.
         if self.tx_in_doubt || self.origin.is_none() || is_forced(proxy) {
+            if proxy.shutdown.is_answering() {
+                // The last answer may still be on its way.
+                close_after_reply(link).await;
+            }
             return;
         }
         let reply = Reply::error(ErrorKind::Busy, ENDED);
@@ -327,10 +331,53 @@
         }
     }
 
-    /// Runs a statement, which counts as unanswered meanwhile.
+    /// Runs a statement, which counts as unanswered meanwhile. If the daemon must send its last
+    /// answers first, whatever the statement waits for is given up.
     async fn answer(&mut self, proxy: &Rc<Proxy>, statement: &Statement) -> Reply {
         let progress = proxy.shutdown.on_statement(&statement.id);
-        self.run_statement(proxy, statement, &progress).await
+        if !proxy.shutdown.is_answering() {
+            monoio::select! {
+                biased;
+                reply = self.run_statement(proxy, statement, &progress) => return reply,
+                () = proxy.shutdown.wait_for_last_answers() => {}
+            }
+        }
+        let reply = self.give_up(&statement.verb, &progress);
+        proxy.stats.given_up.inc();
+        emit(
+            Event::StatementGivenUp,
+            &[
+                ("id", &progress.id),
+                ("stage", &format!("{:?}", progress.stage.get())),
+                ("kind", &format!("{:?}", reply.error_kind())),
+                ("waited", &progress.arrival.elapsed()),
+            ],
+        );
+        reply
+    }
+
+    /// The reply to a statement that is given up: what is true whether or not the member goes on with
+    /// it. The connection of a transaction is closed, so that its member rolls back.
+    fn give_up(&mut self, verb: &Verb, progress: &Progress) -> Reply {
+        self.tx = None;
+        let state = self.tx_state;
+        if matches!(verb, Verb::Commit | Verb::Rollback) {
+            self.tx_state = TxState::Idle;
+        }
+        let kind = match (verb, state) {
+            (Verb::Rollback, _) => return self.with_session_state(Reply::ok()),
+            (Verb::Commit, _) if std::mem::take(&mut self.tx_in_doubt) => ErrorKind::InDoubt,
+            _ if progress.may_have_written() => ErrorKind::InDoubt,
+            (Verb::Commit, _) => ErrorKind::Aborted,
+            (_, TxState::Failed) => return self.malformed("the transaction has failed"),
+            (_, TxState::Open) => {
+                self.tx_state = TxState::Failed;
+                ErrorKind::Aborted
+            }
+            (_, TxState::Idle) if progress.may_have_run() => ErrorKind::TimedOut,
+            (_, TxState::Idle) => ErrorKind::Busy,
+        };
+        self.with_session_state(Reply::error(kind, ENDED))
     }
 
     async fn run_statement(
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -5,17 +5,19 @@
 use std::ops::Deref;
 use std::rc::Rc;
 
-use base::{Event, Ms, emit, sleep_ms};
+use base::{Event, Ms, Signal, emit, sleep_ms};
 
 use crate::Proxy;
 use crate::progress::Progress;
 
 /// Time that the load balancer needs to notice that a daemon is no longer ready.
 const BALANCER_NOTICE_MS: u64 = 2500;
-/// Part of the grace period reserved for the exit of the process.
-const EXIT_RESERVE_MS: u64 = 500;
-/// Part of the grace period, before `EXIT_RESERVE_MS`, in which sessions are ended inside
-/// transactions too: a statement that arrived later might not be answered any more.
+/// Part of the grace period, at its end, in which last answers are sent and reach the callers, in ms.
+const LAST_ANSWERS_MS: u64 = 400;
+/// Part of the grace period, at its end, reserved for the exit of the process, in ms.
+const EXIT_MS: u64 = 100;
+/// Time before the last answers in which sessions are ended inside transactions too, in ms: a statement
+/// that arrived later would hardly be served.
 const FORCED_END_WINDOW_MS: u64 = 900;
 /// Poll interval for open sessions during the stop, in ms.
 const POLL_INTERVAL_MS: u64 = 20;
@@ -31,12 +33,18 @@
     Draining,
     /// Sessions end inside transactions too, unless an answer is outstanding.
     Ending,
+    /// Statements that are unanswered are given up, and answered by what was sent of them.
+    Answering,
 }
 
 /// State of the planned stop.
 #[derive(Debug, Default)]
 pub struct Shutdown {
     phase: Cell<Phase>,
+    /// When `Phase::Answering` begins; `None` before the stop.
+    answer_by: Cell<Option<Ms>>,
+    /// Notified when `Phase::Answering` begins.
+    last_answers: Signal,
     /// Statements that are not answered yet, in the order of their arrival.
     unanswered: RefCell<BTreeMap<u64, Rc<Progress>>>,
     /// Key of the next statement.
@@ -57,7 +65,29 @@
 
     /// Goes on to a phase, unless it has been reached; returns the phase before.
     pub(crate) fn advance(&self, phase: Phase) -> Phase {
-        self.phase.replace(phase.max(self.phase.get()))
+        let before = self.phase.replace(phase.max(self.phase.get()));
+        if phase > before && phase == Phase::Answering {
+            self.last_answers.notify();
+        }
+        before
+    }
+
+    /// When a statement must be answered at the latest.
+    pub fn answer_by(&self) -> Ms {
+        self.answer_by.get().unwrap_or(Ms(u64::MAX))
+    }
+
+    /// Whether no statement is begun any more.
+    pub fn is_answering(&self) -> bool {
+        self.phase() >= Phase::Answering || self.answer_by().left() == 0
+    }
+
+    /// Waits until statements that are unanswered must be given up.
+    pub async fn wait_for_last_answers(&self) {
+        while self.phase() < Phase::Answering {
+            let generation = self.last_answers.generation();
+            self.last_answers.wait_past(generation).await;
+        }
     }
 
     /// Registers a statement that has been read.
@@ -107,19 +137,24 @@
 struct Schedule {
     draining: Ms,
     ending: Ms,
+    answering: Ms,
     /// When the process ends at the latest.
     exit: Ms,
 }
 
 impl Schedule {
-    /// The schedule of a daemon that is told to stop now and is killed after `grace_ms`.
+    /// The schedule of a daemon that is told to stop now and is killed after `grace_ms`. A transaction
+    /// that is open then has the first half of that time.
     fn new(grace_ms: u64) -> Schedule {
         let now = Ms::now();
-        let end_ms = grace_ms.saturating_sub(EXIT_RESERVE_MS);
+        let half_ms = grace_ms / 2;
+        let answering_ms = grace_ms - LAST_ANSWERS_MS.min(grace_ms / 4);
+        let ending_ms = answering_ms.saturating_sub(FORCED_END_WINDOW_MS);
         Schedule {
-            draining: now.plus(BALANCER_NOTICE_MS.min(grace_ms / 2)),
-            ending: now.plus(end_ms.saturating_sub(FORCED_END_WINDOW_MS)),
-            exit: now.plus(end_ms),
+            draining: now.plus(BALANCER_NOTICE_MS.min(half_ms)),
+            ending: now.plus(ending_ms.max(half_ms)),
+            answering: now.plus(answering_ms),
+            exit: now.plus(grace_ms - EXIT_MS.min(grace_ms / 16)),
         }
     }
 
@@ -128,17 +163,18 @@
             Phase::Leaving
         } else if now < self.ending {
             Phase::Draining
-        } else {
+        } else if now < self.answering {
             Phase::Ending
+        } else {
+            Phase::Answering
         }
     }
 }
 
-/// Stops a daemon that will be killed after `grace_ms`: gives the load balancer time to notice, then
-/// ends sessions between transactions and, in the last part of the grace period, also inside
-/// transactions.
+/// Stops a daemon that will be killed after `grace_ms`, in the order of `Phase`.
 pub async fn shut_down(proxy: &Rc<Proxy>, grace_ms: u64) {
     let schedule = Schedule::new(grace_ms);
+    proxy.shutdown.answer_by.set(Some(schedule.answering));
     emit(
         Event::GatewayStopping,
         &[("sessions", &proxy.sessions.get())],
@@ -155,6 +191,10 @@
     let cut = proxy.shutdown.log_cut();
     emit(
         Event::GatewayStopped,
-        &[("sessions", &proxy.sessions.get()), ("cut", &cut)],
+        &[
+            ("sessions", &proxy.sessions.get()),
+            ("given_up", &proxy.stats.given_up.get()),
+            ("cut", &cut),
+        ],
     );
 }
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -84,6 +84,8 @@
     pub wait: Histogram,
     /// Failed attempts that were followed by another, or could have been but for the deadline.
     pub retries: Counter,
+    /// Statements that were given up because the daemon stops.
+    pub given_up: Counter,
     /// Primary changes that this daemon has completed.
     pub changes: Counter,
     /// Number of groups whose change of primary is blocked; set when the metrics are served.
@@ -120,6 +122,7 @@
             latency: Histogram::new(BUCKETS_MS),
             wait: Histogram::new(BUCKETS_MS),
             retries: Counter::default(),
+            given_up: Counter::default(),
             changes: Counter::default(),
             blocked_groups: Gauge::default(),
             sessions: Gauge::default(),
@@ -146,6 +149,8 @@
         registry.register("wait_ms", help, stats.wait.clone());
         let help = "Attempts followed by another";
         registry.register("retries", help, stats.retries.clone());
+        let help = "Statements answered unserved because the daemon stops";
+        registry.register("given_up", help, stats.given_up.clone());
         let help = "Changes of primary run to their end";
         registry.register("changes", help, stats.changes.clone());
         let help =
