Stop: an owner that ends a transaction says so to the daemon before it

What callers saw: where a session was handed off and its owner ended open transactions at the end of a stop, the owner closed the connection without a word. A statement that was on its way from the caller's daemon got no answer.

Cause: the last error, which answers such a statement, was left out at the forced end, since BUSY in an open transaction says the wrong thing.

Change: in an open transaction the owner sends ABORTED with state E; it rolls back and has not read the statement, so the promise is true. After a doubtful outcome it still promises nothing. A withdrawn key is told at the forced end, too.

Measured: a_statement_that_crosses_the_forced_end_of_its_transaction_is_answered (a COMMIT that is 100 ms on its way) failed before (empty answer) and passes; stop_hand_off, session_hand_off and revocation pass (29 tests).

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -217,15 +217,14 @@
     }
 
     /// Ends the session before its next statement.
-    async fn end(&self, proxy: &Proxy, link: &mut BufferedStream) {
+    async fn end(&mut self, proxy: &Proxy, link: &mut BufferedStream) {
         if !self.key.is_withdrawn() {
             return self.send_away(proxy, link).await;
         }
         read_arrived(link).await;
         // A statement may be on its way from the daemon that handed the session off; this answers
         // it.
-        let may_be_sent = self.origin.is_some() && !is_forced(proxy);
-        if may_be_sent || !link.input.is_empty() {
+        if self.origin.is_some() || !link.input.is_empty() {
             self.deny(proxy, link).await;
             return;
         }
@@ -235,17 +234,22 @@
     /// Ends the session of a caller that has sent nothing further. The daemon that handed the session
     /// off gets an error, which answers a statement that is on its way from there. A caller's own
     /// connection is only closed: it may take an error for the answer to its next statement.
-    async fn send_away(&self, proxy: &Proxy, link: &mut BufferedStream) {
+    async fn send_away(&mut self, proxy: &Proxy, link: &mut BufferedStream) {
         // In doubt, nothing may be promised about the transaction.
-        if self.tx_in_doubt || self.origin.is_none() || is_forced(proxy) {
+        if self.tx_in_doubt || self.origin.is_none() {
             if proxy.shutdown.is_answering() {
                 // The last answer may still be on its way.
                 close_after_reply(link).await;
             }
             return;
         }
-        let reply = Reply::error(ErrorKind::Busy, ENDED);
-        self.send_last(proxy, link, reply).await;
+        let kind = if self.tx_state == TxState::Open {
+            self.tx_state = TxState::Failed;
+            ErrorKind::Aborted
+        } else {
+            ErrorKind::Busy
+        };
+        self.send_last(proxy, link, Reply::error(kind, ENDED)).await;
     }
 
     /// Sends the error reply for a withdrawn key and closes the connection.
