Stop: statements at an owner are answered without it where it is silent

What callers saw: a statement of a handed-off session was cut without an answer when the caller's daemon reached the end of its stop, and when the owner had ended (a kill, a reset): the daemon before it forwarded bytes and closed.

The forwarding daemon has no statement of its own, so no wait that could end with the process; it kept only the number of replies due.

Change: it keeps what is due (id, whether it may write). At the last answers, or when the owner's connection ends, it answers each: INDOUBT for writes, commits and EXECUTE, TIMEOUT otherwise, BUSY for the connect request, nothing after a CLOSE. None of these promises anything, since the owner may have passed the statement on. After a failed transaction a late statement gets INDOUBT in place of a closed connection.

--- a/crates/proxy/src/tunnel/exchange.rs
+++ b/crates/proxy/src/tunnel/exchange.rs
@@ -1,8 +1,59 @@
 //! Follows the messages of a handed-off session as their bytes pass.
 
+use std::collections::VecDeque;
+
 use bytes::BytesMut;
 
-use crate::{Codec, ReplyPart, TxState, WireError};
+use crate::{Codec, ErrorKind, Reply, ReplyPart, Request, TxState, Verb, WireError};
+
+/// A message that was passed to the owner and not answered yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Due {
+    Connect,
+    Statement {
+        /// Identifier chosen by the caller.
+        id: Box<str>,
+        /// Whether it may change data.
+        writes: bool,
+    },
+    /// It cannot be decoded, or is not allowed in a session.
+    Malformed,
+    /// The end of the session, which is not answered.
+    Close,
+}
+
+impl Due {
+    fn of(request: &Request) -> Due {
+        let statement = match request {
+            Request::Run(statement) => statement,
+            Request::Connect { .. } | Request::Unknown { .. } => return Due::Malformed,
+            Request::Close => return Due::Close,
+        };
+        // What a prepared statement does is known to the owner only.
+        let writes = matches!(
+            statement.verb,
+            Verb::Write | Verb::Commit | Verb::Execute { .. }
+        );
+        let id = statement.id.clone();
+        Due::Statement { id, writes }
+    }
+
+    /// The reply where the owner's does not come, if there is any. That to a statement promises
+    /// nothing, since the owner may have passed it on to a member.
+    pub fn reply_without_owner(&self, state: TxState, text: &str) -> Option<Reply> {
+        let kind = match self {
+            Due::Connect => return Some(Reply::refusal(ErrorKind::Busy, text)),
+            Due::Statement { writes: true, .. } => ErrorKind::InDoubt,
+            Due::Statement { writes: false, .. } => ErrorKind::TimedOut,
+            Due::Malformed => ErrorKind::Malformed,
+            Due::Close => return None,
+        };
+        Some(Reply {
+            state,
+            ..Reply::error(kind, text)
+        })
+    }
+}
 
 /// What is due in a handed-off session. Does no I/O.
 pub struct Exchange {
@@ -13,7 +64,7 @@
     replies: BytesMut,
     /// Messages passed to the owner and not answered yet. The connect request, which the head of
     /// the hand-off stands for, is the first.
-    due: usize,
+    due: VecDeque<Due>,
     /// Transaction state in the last reply.
     state: TxState,
     /// Whether the caller sent what cannot be decoded. The owner closes the connection after its
@@ -27,7 +78,7 @@
             codec,
             requests: BytesMut::new(),
             replies: BytesMut::new(),
-            due: 1,
+            due: VecDeque::from([Due::Connect]),
             state: TxState::Idle,
             is_undecodable: false,
         }
@@ -35,7 +86,7 @@
 
     /// Whether the owner may still send a reply to what was passed to it.
     pub fn is_reply_due(&self) -> bool {
-        self.due > 0
+        !self.due.is_empty()
     }
 
     /// Whether a message was passed to the owner in part.
@@ -45,7 +96,7 @@
 
     /// Whether every message is answered and no transaction is open.
     pub fn is_between_transactions(&self) -> bool {
-        self.due == 0 && self.state == TxState::Idle
+        self.due.is_empty() && self.state == TxState::Idle
     }
 
     /// Whether a transaction is open that has failed.
@@ -53,6 +104,25 @@
         self.state == TxState::Failed
     }
 
+    /// Whether the reply that is due was passed to the caller up to the middle of a message.
+    pub fn is_reply_cut(&self) -> bool {
+        !self.replies.is_empty()
+    }
+
+    /// Takes the messages that are not answered, to be answered without the owner.
+    pub fn take_due(&mut self) -> VecDeque<Due> {
+        std::mem::take(&mut self.due)
+    }
+
+    /// State of a transaction in a reply that is made without the owner, which rolls the transaction
+    /// back.
+    pub fn state_without_owner(&self) -> TxState {
+        match self.state {
+            TxState::Idle => TxState::Idle,
+            TxState::Open | TxState::Failed => TxState::Failed,
+        }
+    }
+
     /// Takes all bytes that the caller has sent, to be passed to the owner.
     pub fn take_requests(&mut self, input: &mut BytesMut) -> BytesMut {
         let bytes = input.split();
@@ -62,7 +132,7 @@
         self.requests.extend_from_slice(&bytes);
         loop {
             match (self.codec.request)(&mut self.requests) {
-                Ok(Some(_)) => self.due += 1,
+                Ok(Some(request)) => self.due.push_back(Due::of(&request)),
                 Ok(None) => break,
                 Err(_) => {
                     self.set_undecodable();
@@ -81,10 +151,10 @@
         whole.extend_from_slice(input);
         let length = whole.len();
         match (self.codec.request)(&mut whole) {
-            Ok(Some(_)) => {
+            Ok(Some(request)) => {
                 let passed = self.requests.len();
                 self.requests = BytesMut::new();
-                self.due += 1;
+                self.due.push_back(Due::of(&request));
                 input.split_to((length - whole.len()).saturating_sub(passed))
             }
             Ok(None) => BytesMut::new(),
@@ -102,17 +172,18 @@
     /// When a reply cannot be decoded.
     pub fn take_replies(&mut self, input: &mut BytesMut) -> Result<BytesMut, WireError> {
         self.replies.extend_from_slice(input);
-        while self.due > 0 {
+        while self.is_reply_due() {
             match (self.codec.reply_part)(&mut self.replies)? {
                 Some(ReplyPart::Ready(state, _)) => {
-                    self.due -= 1;
+                    self.due.pop_front();
                     self.state = state;
                 }
                 Some(ReplyPart::Row(_) | ReplyPart::End(_)) => {}
                 None => break,
             }
         }
-        if self.due > 0 {
+        release_if_unused(&mut self.due);
+        if self.is_reply_due() {
             release_if_empty(&mut self.replies);
             return Ok(input.split());
         }
@@ -122,12 +193,19 @@
     }
 
     fn set_undecodable(&mut self) {
-        self.due += 1;
+        self.due.push_back(Due::Malformed);
         self.is_undecodable = true;
         self.requests = BytesMut::new();
     }
 }
 
+/// Frees the list of a session to which nothing is due; most sessions are idle.
+fn release_if_unused(due: &mut VecDeque<Due>) {
+    if due.is_empty() {
+        *due = VecDeque::new();
+    }
+}
+
 /// Frees the buffer of a session without pending bytes; most sessions are idle.
 fn release_if_empty(buffer: &mut BytesMut) {
     if buffer.is_empty() {
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -3,12 +3,12 @@
 use std::io;
 use std::rc::Rc;
 
-use base::sleep_ms;
+use base::{Event, emit, sleep_ms};
 use bytes::BytesMut;
 use link::BufferedStream;
 
 use super::connect::{PeerError, announce_stop, send_head};
-use super::exchange::Exchange;
+use super::exchange::{Due, Exchange};
 use super::head::encode_hand_off;
 use crate::closing::{close_after_reply, read_arrived};
 use crate::key_check::KeyCheck;
@@ -101,7 +101,8 @@
 impl Forwarder<'_> {
     /// Forwards both ways until one side closes. It also ends
     /// - once the caller's key is withdrawn, between transactions;
-    /// - once the stop is in its last phase and no reply is due, after `REPLY_SILENCE_MS` without bytes;
+    /// - once the stop is in `Phase::Ending` and no reply is due, after `REPLY_SILENCE_MS` without
+    ///   bytes, and at last in `Phase::Answering`;
     /// - when the owner sends what no message has asked for, which it does only to end a session.
     async fn run(
         &mut self,
@@ -112,8 +113,7 @@
             // Read before the key is checked, so that a configuration that comes into force while
             // bytes are sent ends the wait below.
             let generation = self.proxy.stop_signal.generation();
-            let replies = self.exchange.take_replies(&mut owner.input);
-            caller.send(&replies.map_err(io::Error::other)?).await?;
+            self.pass_replies(caller, owner).await?;
             self.check_key();
             if self.is_over() || self.is_denied(&owner.input) {
                 return self.deny(caller).await;
@@ -121,8 +121,13 @@
             if !owner.input.is_empty() {
                 return self.send_away(caller).await;
             }
+            if self.proxy.shutdown.is_answering() {
+                return self.give_up(caller, owner).await;
+            }
             let requests = self.take_requests(caller);
-            owner.send(&requests).await?;
+            if owner.send(&requests).await.is_err() {
+                return self.give_up(caller, owner).await;
+            }
             caller.release_buffer();
             owner.release_buffer();
             let is_closing = self.proxy.shutdown.phase() >= Phase::Ending
@@ -130,19 +135,72 @@
                 && !self.exchange.is_request_cut();
             // Further statements of a withdrawn key are not read before their turn.
             let may_read = !self.key.is_withdrawn() || !self.exchange.is_reply_due();
-            let bytes_read = monoio::select! {
-                bytes_read = read_if(may_read, caller) => bytes_read?,
-                bytes_read = owner.read_more() => bytes_read?,
-                () = self.proxy.stop_signal.wait_past(generation) => continue,
+            monoio::select! {
+                bytes_read = read_if(may_read, caller) => if bytes_read? == 0 {
+                    return self.pass_replies(caller, owner).await;
+                },
+                bytes_read = owner.read_more() => if !matches!(bytes_read, Ok(n) if n > 0) {
+                    return self.give_up(caller, owner).await;
+                },
+                () = self.proxy.stop_signal.wait_past(generation) => {}
                 () = reply_silence(is_closing) => return self.send_away(caller).await,
-            };
-            if bytes_read == 0 {
-                let replies = self.exchange.take_replies(&mut owner.input);
-                return caller.send(&replies.map_err(io::Error::other)?).await;
             }
         }
     }
 
+    /// Passes what the owner has sent to the caller.
+    async fn pass_replies(
+        &mut self,
+        caller: &mut BufferedStream,
+        owner: &mut BufferedStream,
+    ) -> io::Result<()> {
+        let replies = self.exchange.take_replies(&mut owner.input);
+        caller.send(&replies.map_err(io::Error::other)?).await
+    }
+
+    /// Ends the session where the owner's replies cannot be awaited: it has closed the connection, or
+    /// this daemon sends its last answers. What was passed to it is answered without it.
+    async fn give_up(
+        &mut self,
+        caller: &mut BufferedStream,
+        owner: &mut BufferedStream,
+    ) -> io::Result<()> {
+        read_arrived(owner).await;
+        self.pass_replies(caller, owner).await?;
+        let is_cut = self.exchange.is_reply_cut();
+        let mut out = BytesMut::new();
+        for due in self.exchange.take_due() {
+            let reply = due.reply_without_owner(self.exchange.state_without_owner(), ENDED);
+            let Some(reply) = reply else { continue };
+            if let Due::Statement { id, .. } = &due {
+                self.log_given_up(id, &reply, is_cut);
+            }
+            (self.proxy.codec.reply)(&reply, &mut out);
+        }
+        // Nothing can follow a part of a message.
+        if is_cut || out.is_empty() {
+            return self.send_away(caller).await;
+        }
+        caller.send(&out).await?;
+        self.send_away(caller).await?;
+        close_after_reply(caller).await;
+        Ok(())
+    }
+
+    fn log_given_up(&self, id: &str, reply: &Reply, is_cut: bool) {
+        let stage = "HandedOff";
+        if is_cut {
+            emit(Event::StatementCut, &[("id", &id), ("stage", &stage)]);
+            return;
+        }
+        self.proxy.stats.given_up.inc();
+        let kind = format!("{:?}", reply.error_kind());
+        emit(
+            Event::StatementGivenUp,
+            &[("id", &id), ("stage", &stage), ("kind", &kind)],
+        );
+    }
+
     fn check_key(&mut self) {
         self.key
             .update(self.proxy, self.database, &mut self.identity);
@@ -190,11 +248,16 @@
     async fn send_away(&self, caller: &mut BufferedStream) -> io::Result<()> {
         read_arrived(caller).await;
         let is_sent = !caller.input.is_empty() || self.exchange.is_request_cut();
-        // After a failed transaction, whose outcome may be unknown, nothing is promised.
-        if !is_sent || self.exchange.is_failed() {
+        if !is_sent || self.exchange.is_reply_cut() {
             return Ok(());
         }
-        self.send_last(caller, ErrorKind::Busy, ENDED).await
+        // After a failed transaction, whose outcome may be unknown, nothing is promised.
+        let kind = if self.exchange.is_failed() {
+            ErrorKind::InDoubt
+        } else {
+            ErrorKind::Busy
+        };
+        self.send_last(caller, kind, ENDED).await
     }
 
     async fn send_last(
