Stop: the announcement of a VM does not end the sessions of its next process

What callers saw: for 8 s after a planned stop, sessions that the restarted VM handed off ended at their owners as soon as they began: READY, then a closed connection under the first statement.

Cause: owners kept the announcement by the VM's name for 8 s ("longer than any grace period"), and a VM starts again 0.5 s after its stop.

Change: an announcement ends the sessions that were opened before it. A session that the stopping process hands off later is announced again, as before. The time for which it is kept is now the longest grace period that the settings allow: at 8 s, sessions of a VM with a longer one ceased to drain.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -29,6 +29,7 @@
 pub struct Session {
     /// VM that handed the session off to this daemon; `None` when the caller connected here.
     origin: Option<Box<str>>,
+    opened_at: Ms,
     database: Box<str>,
     /// `None` on public routes and where no client accounts are in force.
     identity: Option<Identity>,
@@ -89,6 +90,7 @@
     pub fn new(request: &SessionRequest, identity: Option<Identity>, key: KeyCheck) -> Session {
         Session {
             origin: request.origin.clone(),
+            opened_at: Ms::now(),
             database: request.database.clone(),
             identity,
             key,
@@ -118,7 +120,7 @@
 
     /// Whether the session ends once it is between transactions.
     fn is_draining(&self, proxy: &Proxy) -> bool {
-        proxy.is_draining(self.origin.as_deref())
+        proxy.is_draining(self.origin.as_deref(), self.opened_at)
     }
 
     /// Whether the session must end before its next statement: always once the daemon ends its
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -57,7 +57,8 @@
     pub sessions: Cell<u64>,
     /// The planned stop of this daemon.
     pub(crate) shutdown: Shutdown,
-    /// VMs that have announced that they are stopping, and when.
+    /// VMs that have announced that they are stopping, and when they last did. What they hand off later
+    /// is of another process, or announced again.
     stopping_vms: RefCell<HashMap<Box<str>, Ms>>,
     /// Notified when sessions must check whether they are to end.
     pub stop_signal: Signal,
@@ -206,20 +207,18 @@
 
     /// Ends the sessions that a VM has handed off, once they are between transactions.
     pub(crate) fn drain_sessions_from(&self, vm: &str) {
-        self.stopping_vms.borrow_mut().insert(vm.into(), Ms::now());
+        let mut stopping_vms = self.stopping_vms.borrow_mut();
+        stopping_vms.retain(|_, at| at.elapsed() <= STOP_NOTICE_TTL_MS);
+        stopping_vms.insert(vm.into(), Ms::now());
         self.stop_signal.notify();
     }
 
-    /// Whether a session ends once it is between transactions; `origin` is the VM that has handed
-    /// it off, if any.
-    pub(crate) fn is_draining(&self, origin: Option<&str>) -> bool {
+    /// Whether a session that was opened at `opened_at` ends once it is between transactions; `origin`
+    /// is the VM that has handed it off, if any.
+    pub(crate) fn is_draining(&self, origin: Option<&str>, opened_at: Ms) -> bool {
         let stopping_vms = self.stopping_vms.borrow();
-        let recent = |vm| {
-            stopping_vms
-                .get(vm)
-                .is_some_and(|at: &Ms| at.elapsed() <= STOP_NOTICE_TTL_MS)
-        };
-        self.shutdown.phase() >= Phase::Draining || origin.is_some_and(recent)
+        let has_announced = |vm| stopping_vms.get(vm).is_some_and(|at: &Ms| *at >= opened_at);
+        self.shutdown.phase() >= Phase::Draining || origin.is_some_and(has_announced)
     }
 
     /// The owners of a group that may serve a session before this daemon does, in the order in which
@@ -300,9 +299,9 @@
     }
 }
 
-/// Time for which the announcement of a stopping VM has effect, in ms; longer than any grace
-/// period, so that it outlasts the process that announced it.
-const STOP_NOTICE_TTL_MS: u64 = 8000;
+/// Time for which the announcement of a stopping VM is kept, in ms; the longest grace period, so that it
+/// outlasts the process that announced it.
+const STOP_NOTICE_TTL_MS: u64 = 600_000;
 /// Time without input from a member after which no tunnel to it is accepted, in ms. The members of
 /// served groups are probed more often than that.
 const MAX_TUNNEL_SILENCE_MS: u64 = 800;
