Settings: bounds that are fractions start the daemon

What operators saw: where `grace_s` is 5.5, the template made `grace_ms: 5.5000` and the program ended at once with "expected u64"; a fraction in `drain_ms` or `heartbeat_ms` did the same. The platform's page allows fractions.

Measured: bounds_may_be_fractions failed before ("floating point `5.5`, expected u64") and passes; the other tests of gateway.rs hold.

--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -10,6 +10,7 @@
 mod generated;
 mod institution;
 mod load;
+mod millis;
 mod pos;
 mod window;
 
--- a/crates/schema/tests/gateway.rs
+++ b/crates/schema/tests/gateway.rs
@@ -3,7 +3,7 @@
 use schema::{Gateway, LoadError, load_gateway};
 
 const TEMPLATE: &str = include_str!("../../../deploy/node.yaml");
-const VALUES: [(&str, &str); 11] = [
+const VALUES: [(&str, &str); 9] = [
     ("node_name", "vm-1"),
     ("zone", "z0"),
     ("listen.front", "127.0.0.1:1"),
@@ -13,8 +13,12 @@
     ("internal_port_range.1", "4"),
     ("platform.address", "127.0.0.1:5"),
     ("cloud_api.address", "127.0.0.1:6"),
+];
+/// Times that the platform always states.
+const TIMES: [(&str, &str); 3] = [
     ("bounds.grace_s", "6"),
     ("bounds.drain_ms", "7000"),
+    ("heartbeat_ms", "1200"),
 ];
 
 /// Fills in the values; a section whose value is missing is left out.
@@ -37,10 +41,10 @@
     text
 }
 
-/// Loads the settings that the platform renders with these values besides `VALUES`.
+/// Loads the settings that the platform renders with these values besides `VALUES`; they go before
+/// `TIMES`.
 fn load(name: &str, more: &[(&str, &str)]) -> Result<Gateway, LoadError> {
-    let heartbeat = [("heartbeat_ms", "1200")];
-    let values: Vec<_> = [&VALUES[..], &heartbeat, more].concat();
+    let values: Vec<_> = [&VALUES[..], more, &TIMES].concat();
     let file = format!("hollyreach-gateway-{}-{name}.yaml", std::process::id());
     let path = std::env::temp_dir().join(file);
     std::fs::write(&path, render(&values)).expect("the temporary file can be written");
@@ -74,7 +78,7 @@
     let file = format!("hollyreach-gateway-{}-centers.yaml", std::process::id());
     let path = std::env::temp_dir().join(file);
     for (centers, is_valid) in [("z0 z1 z2", true), ("z1 z2", false)] {
-        let rendered = render(&[&VALUES[..], &[("heartbeat_ms", "1200")]].concat());
+        let rendered = render(&[&VALUES[..], &TIMES].concat());
         let with_centers = rendered.replace(
             "quota_data_centers: \"\"",
             &format!("quota_data_centers: \"{centers}\""),
@@ -105,3 +109,24 @@
         assert!(error.contains(setting), "{name} {value}: {error:?}");
     }
 }
+
+/// Guards against a daemon that does not start on a platform whose bounds are fractions, or that takes a
+/// short grace period for a long one.
+#[test]
+fn bounds_may_be_fractions() {
+    let times = |s: &Gateway| [s.grace_ms, s.drain_ms, s.heartbeat_ms];
+    let whole = load("whole", &[]).expect("valid");
+    assert_eq!(times(&whole), [6000, 7000, 1200]);
+    let given = [
+        ("bounds.grace_s", "5.5"),
+        ("bounds.drain_ms", "7000.25"),
+        ("heartbeat_ms", "1200.0"),
+    ];
+    let fractions = load("fractions", &given).expect("valid");
+    assert_eq!(times(&fractions), [5500, 7001, 1200]);
+    let short = load("short", &[("bounds.grace_s", "1")]).expect("valid");
+    assert_eq!(short.grace_ms, 1000);
+    for invalid in ["-1", "0.2", "x"] {
+        assert!(load("invalid", &[("bounds.grace_s", invalid)]).is_err());
+    }
+}
--- a/xtask/src/codegen/mod.rs
+++ b/xtask/src/codegen/mod.rs
@@ -154,6 +154,7 @@
     match name {
         "text" => "Box<str>".to_owned(),
         "bytes" => "serde_bytes::ByteBuf".to_owned(),
+        "ms" => "u64".to_owned(),
         other => other.to_owned(),
     }
 }
@@ -257,6 +258,10 @@
                 snake(name)
             );
         }
+        if &*spec.r#type == "ms" {
+            let path = "crate::millis::deserialize";
+            let _ = writeln!(out, "#[serde(deserialize_with = \"{path}\")]");
+        }
         let _ = writeln!(out, "pub {field}: {},", rust_type(&spec.r#type));
     }
     out.push_str("}\n\n");
