Stop: a request for a session is answered before the process ends

Cause: a session that is being opened waits up to 1.5 s for the configuration, the list of daemons and an owner, whatever is left of the grace period.

Change: the last answers of a stop end these waits, and the caller is refused.

Measured: a_session_that_is_being_opened_is_refused_at_the_end_of_a_stop failed before (answered after the end of the process) and passes. half_a_statement_does_not_hold_up_a_stop held before, too. start and session_hand_off pass.

--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -87,6 +87,7 @@
     let deadline = Ms::now().plus(STARTUP_WAIT_MS);
     proxy.wait_for_config(deadline).await;
     proxy.wait_for_peers(deadline).await;
+    let is_over = || deadline.left() == 0 || proxy.shutdown.is_answering();
     loop {
         let Some((_, group)) = proxy.route(&request.database) else {
             return Err(Kept::Here(link));
@@ -106,10 +107,10 @@
             Ok(()) => return Ok(()),
             // The owners that rank before this one for the account do not accept.
             Err(returned) if group.is_owner.get() => return Err(Kept::Here(returned)),
-            Err(returned) if deadline.left() == 0 && account.is_some() => {
+            Err(returned) if is_over() && account.is_some() => {
                 return Err(Kept::NoOwner(returned));
             }
-            Err(returned) if deadline.left() == 0 => return Err(Kept::Here(returned)),
+            Err(returned) if is_over() => return Err(Kept::Here(returned)),
             Err(returned) => link = returned,
         }
         sleep_ms(HAND_OFF_RETRY_DELAY_MS).await;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -282,18 +282,21 @@
         Some((route, group))
     }
 
-    /// Waits until a configuration is in force or `until` has passed; returns whether one is in
-    /// force.
+    /// Waits until a configuration is in force, `until` has passed or a stop requires the last answers;
+    /// returns whether one is in force.
     pub async fn wait_for_config(&self, until: Ms) -> bool {
-        while self.config_version.get() == 0 && until.left() > 0 {
+        let is_over = || until.left() == 0 || self.shutdown.is_answering();
+        while self.config_version.get() == 0 && !is_over() {
             sleep_ms(STARTUP_POLL_INTERVAL_MS).await;
         }
         self.config_version.get() > 0
     }
 
-    /// Waits until the list of other daemons is known or `until` has passed.
+    /// Waits until the list of other daemons is known, `until` has passed or a stop requires the last
+    /// answers.
     pub async fn wait_for_peers(&self, until: Ms) {
-        while !self.peers.is_known() && until.left() > 0 {
+        let is_over = || until.left() == 0 || self.shutdown.is_answering();
+        while !self.peers.is_known() && !is_over() {
             sleep_ms(STARTUP_POLL_INTERVAL_MS).await;
         }
     }
