Soak: planned stops in series, and a stricter check of cut statements

Change: `--stops` stops one or two daemons at a time, with further signals, and lets primaries leave at any moment of a stop; callers pause in transactions for up to 2.8 s. CUT is now reported also with hand-offs, and for statements that no member has received where the connection ends later than 200 ms after them (`loss_slack_ms`). Without the option, the draws of a seed are as before.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -124,6 +124,9 @@
     let late_orders = long("late-orders")
         .help("also hold up orders of promotions, with faults around them")
         .switch();
+    let stops = long("stops")
+        .help("also stop daemons in series, beside planned changes of primary")
+        .switch();
     let logs = long("logs")
         .help("directory of the logs, by default in the target directory")
         .argument::<std::path::PathBuf>("DIR")
@@ -140,6 +143,7 @@
         former_build,
         build,
         late_orders,
+        stops,
         logs
     });
     construct!(Task::Soak(options))
--- a/xtask/src/soak/client.rs
+++ b/xtask/src/soak/client.rs
@@ -18,8 +18,11 @@
 const CONNECT_TIMEOUT_S: u64 = 2;
 /// Staleness that reads of the `aged` route accept.
 const MAX_STALENESS_MS: u64 = 1500;
-/// Maximum number of daemons in a fleet whose sessions are not handed off.
-const MAX_DAEMONS_WITHOUT_HANDOFF: usize = 12;
+/// Time within which a connection may end under a statement that the daemon has not passed on, in ms: it
+/// may have been sent before its caller saw the end.
+const LOSS_SLACK_MS: u64 = 200;
+/// Range of the pauses in transactions where daemons are stopped in series, in ms; below the idle timeout.
+const PAUSE_MS: (u64, u64) = (100, 2800);
 /// Text that begins an error for an account that is over its rate; stands for its code here.
 const OVER_RATE: &str = "BUSY over the account's rate";
 /// Operations of a long session; it lasts beyond the time in which a withdrawn key may be used.
@@ -235,21 +238,19 @@
             .set(daemon.seen_version.get().max(version));
     }
 
-    /// Records a violation if a statement whose connection ended before its answer had been sent to
-    /// a member, although the daemon's process was neither killed nor frozen. Not checked where
-    /// sessions are handed off, nor once callers are stopping.
-    fn check_lost_answer(&self, session: &Session, id: &str) {
+    /// Records a violation if the connection ended without an answer to a statement that had been sent
+    /// to a member, or later than `LOSS_SLACK_MS` after the statement, although the daemon's process was
+    /// neither killed nor frozen. Not checked once callers are stopping.
+    fn check_lost_answer(&self, session: &Session, id: &str, sent_at: Ms) {
         let daemon = &self.fleet.daemons[session.daemon];
         let undisrupted = daemon.launches.get() == session.launch && !daemon.disrupted.get();
-        let with_handoff = self.fleet.daemons.len() > MAX_DAEMONS_WITHOUT_HANDOFF;
         let received_ids = &self.world.groups[session.group].received_ids;
-        if undisrupted
-            && !with_handoff
-            && !self.ledger.stopping.get()
-            && received_ids.borrow().contains(id)
+        let is_passed_on = received_ids.borrow().contains(id);
+        let waited_ms = sent_at.elapsed();
+        if undisrupted && !self.ledger.stopping.get() && (is_passed_on || waited_ms > LOSS_SLACK_MS)
         {
             let text = format!(
-                "CUT: {id} at {} was sent to a member and got no answer",
+                "CUT: {id} at {} got no answer within {waited_ms} ms; sent to a member: {is_passed_on}",
                 daemon.name
             );
             self.ledger.record_violation(text);
@@ -386,6 +387,7 @@
         self.execute(session, "SET mode fast").await?;
         self.execute(session, "BEGIN").await?;
         self.in_transaction = true;
+        self.pause().await;
         self.write_count += 1;
         let (item, count) = (self.own_item(), self.write_count);
         let result = self.run_statements(session, &item, count).await;
@@ -418,6 +420,14 @@
         )
     }
 
+    /// Pauses in one of four transactions where daemons are stopped in series, so that statements come
+    /// late in a stop.
+    async fn pause(&mut self) {
+        if self.fleet.has_stops && self.rng.u8(..4) == 0 {
+            sleep_ms(self.rng.u64(PAUSE_MS.0..PAUSE_MS.1)).await;
+        }
+    }
+
     /// Reads, writes and reads an item back inside a transaction.
     async fn run_statements(
         &mut self,
@@ -428,6 +438,7 @@
         let (id, answer) = self.query(session, &format!("READ {item}")).await?;
         self.check_row(&id, item, &answer)?;
         sleep_ms(self.rng.u64(1..30)).await;
+        self.pause().await;
         let (_, answer) = self
             .query(session, &format!("WRITE {item} {count}"))
             .await?;
@@ -462,13 +473,14 @@
             accounts.record_sent(&id, session.key.as_deref(), self.operation_at);
         }
         let request = format!("QUERY {id} {text}\r\n");
+        let sent_at = Ms::now();
         let exchange = exchange(&mut session.link, &request);
         let answer =
             monoio::time::timeout(Duration::from_millis(ANSWER_TIMEOUT_MS), exchange).await;
         match answer {
             Ok(Some(answer)) => Ok((id, answer)),
             Ok(None) => {
-                self.check_lost_answer(session, &id);
+                self.check_lost_answer(session, &id, sent_at);
                 Err(StatementError::NoAnswer)
             }
             Err(_) => Err(StatementError::NoAnswer),
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -16,7 +16,7 @@
 /// Range of the time that a daemon is frozen during a switchover.
 const FREEZE_MS: (u64, u64) = (1150, 1800);
 /// Time that a daemon gets to end after a stop, in ms; its settings say the same.
-const GRACE_MS: u64 = 4000;
+pub(super) const GRACE_MS: u64 = 4000;
 /// Range of the duration of a fault, except for those of fixed duration and switchovers.
 const FAULT_DURATION_MS: (u64, u64) = (300, 4500);
 
--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -26,6 +26,8 @@
     pub launches: Cell<u64>,
     /// Whether the process has been killed or frozen since its last start.
     pub disrupted: Cell<bool>,
+    /// Whether the process is being stopped in a series of stops.
+    pub is_stopping: Cell<bool>,
     /// Whether the process is of the build under test, not of the other one.
     pub is_new: Cell<bool>,
     /// Highest configuration version observed since the process's last start.
@@ -36,6 +38,8 @@
     pub daemons: Vec<Daemon>,
     spawner: Rc<Spawner>,
     seed: u64,
+    /// Whether daemons are stopped in series.
+    pub has_stops: bool,
     /// Program of the build under test; `None` for the one built from this workspace.
     build: Option<PathBuf>,
     /// Program of the other build, which the fleet begins with.
@@ -99,6 +103,7 @@
                 settings_path: settings_path.display().to_string(),
                 process: RefCell::new(None),
                 launches: Cell::new(0),
+                is_stopping: Cell::new(false),
                 is_new: Cell::new(options.former_build.is_none()),
                 disrupted: Cell::new(false),
                 seen_version: Cell::new(0),
@@ -109,6 +114,7 @@
             daemons,
             spawner,
             seed,
+            has_stops: options.stops,
             build: options.build.clone(),
             former_build: options.former_build.clone(),
         });
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod late_orders;
 mod ledger;
+mod stops;
 mod trace;
 
 use std::rc::Rc;
@@ -44,6 +45,8 @@
     pub build: Option<std::path::PathBuf>,
     /// Whether orders of promotions are held up, with faults around them.
     pub late_orders: bool,
+    /// Whether daemons are also stopped in series, beside planned changes of primary.
+    pub stops: bool,
     /// Directory of the daemons' settings and logs; `None` for one in the target directory.
     pub logs: Option<std::path::PathBuf>,
 }
@@ -150,6 +153,7 @@
     }
     // Apart from the other draws, which are the same with and without late orders.
     let mut late_rng = fastrand::Rng::with_seed(!seed);
+    let mut stop_rng = fastrand::Rng::with_seed(seed.rotate_left(2));
     let mut silent_rng = fastrand::Rng::with_seed(seed.rotate_left(1));
     let late_orders = options.late_orders.then(|| LateOrders::new(&world, &fleet));
     if options.late_orders {
@@ -167,6 +171,10 @@
             .clone()
             .filter(|_| seed.is_multiple_of(SILENT_SEEDS))
             .map(|late_orders| monoio::spawn(late_orders.silence(silent_rng.fork(), round_ms)));
+        if options.stops {
+            let (world, fleet) = (world.clone(), fleet.clone());
+            monoio::spawn(stops::inject(world, fleet, stop_rng.fork(), round_ms));
+        }
         faults::inject(&world, &fleet, accounts.as_ref(), &mut rng, round_ms).await;
         if let (Some(scenarios), Some(late_orders)) = (scenarios, &late_orders) {
             scenarios.await;
