Failover: a demoted primary does not settle the former start of a replica

What callers saw: 20 of 40 acknowledged writes were gone after a planned change of primary, although the old primary was sound and had them all.

Cause: a replica that has started again without its log counts, by its former start, like a member that has left with commits, until a listed replica holds them. The member to leave out of these replicas was "the primary", which is nobody once it is demoted: the old primary then counted as a replica that holds everything, the former start was taken off the record, and the replica that lacks the commits was promoted.

Change: where nobody leads, the member left out is the one that led last. The group is then without a primary until the change gives up and the next one promotes the old primary again, which is a listed replica with the longest log.

--- a/crates/proxy/src/group/fence_set.rs
+++ b/crates/proxy/src/group/fence_set.rs
@@ -59,6 +59,11 @@
         Some(Leader { term, id })
     }
 
+    /// The member that led the newest term of which this daemon has seen the primary, if it is known.
+    pub(super) fn last_primary_member(&self) -> Option<Rc<Member>> {
+        self.member(&self.last_leader()?.id)
+    }
+
     /// The last primary that this daemon knows of, if no later term is known and it is listed and has
     /// reported to be a replica with the log that it had.
     pub fn demoted_primary(&self) -> Option<LastPrimary> {
--- a/crates/proxy/src/group/recorded.rs
+++ b/crates/proxy/src/group/recorded.rs
@@ -108,7 +108,9 @@
         counted.map(|m| m.id.clone()).collect()
     }
 
-    /// Whether a member is listed, or has left and may have confirmed what no listed replica holds.
+    /// Whether a member is listed, or has left and may have confirmed what no listed replica holds. The
+    /// last primary is none of these replicas, also once it is demoted: it has all that it has confirmed,
+    /// whether or not a replica does.
     fn may_hold_commits(&self, member: &Member) -> bool {
         if !member.removed.get() {
             return true;
@@ -116,8 +118,8 @@
         if self.recorded.settled.borrow().contains(&member.id) {
             return false;
         }
-        let primary = self.primary();
-        let is_held = |pos| self.is_held(pos, primary.as_ref());
+        let leader = self.primary().or_else(|| self.last_primary_member());
+        let is_held = |pos| self.is_held(pos, leader.as_ref());
         !member.final_pos.get().is_some_and(is_held)
     }
 
