Stop: an owner knows when the daemon of the caller ends

What callers saw: at the end of a stop, a statement of a handed-off session that no member had received got INDOUBT from the caller's daemon, which cannot know that; a single write is then not tried again.

Cause: the announcement of a stop says nothing about its end, so the owner gives a statement the whole timeout of its route.

Change: the announcement carries `answer-within-ms`. The owner answers statements that come after it 0.1 s before that, as for its own stop. Daemons of earlier releases ignore the header, and theirs have none.

--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -142,7 +142,7 @@
         route: &'a Route,
         identity: Option<Identity>,
         last_write: Pos,
-        arrival: Ms,
+        deadline: Ms,
     ) -> StatementContext<'a> {
         StatementContext {
             group,
@@ -150,7 +150,7 @@
             identity,
             charge: Charge::new(proxy),
             last_write,
-            deadline: arrival.plus(route.timeout).min(proxy.shutdown.answer_by()),
+            deadline,
             member: RefCell::default(),
             wait_ms: Cell::new(0),
             read_labels: RefCell::default(),
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Event, Ms, emit};
+use base::{Event, Ms, emit, sleep_ms};
 use bytes::BytesMut;
 use link::BufferedStream;
 use schema::Pos;
@@ -18,8 +18,8 @@
 use crate::statement::SessionVars;
 use crate::transaction::Transaction;
 use crate::{
-    Codec, ErrorKind, Identity, PreparedStatement, Proxy, Reply, ReplyEnd, Request, SessionRequest,
-    Statement, TxState, Verb, WireError,
+    Codec, ErrorKind, Group, Identity, PreparedStatement, Proxy, Reply, ReplyEnd, Request, Route,
+    SessionRequest, Statement, TxState, Verb, WireError,
 };
 
 /// Text of the error with which a session ends that its caller has not ended.
@@ -69,6 +69,17 @@
     proxy.shutdown.phase() >= Phase::Ending
 }
 
+/// Waits until the last answers are due: at this instant, or when this daemon says so.
+async fn last_answers(proxy: &Proxy, answer_by: Option<Ms>) {
+    let Some(at) = answer_by else {
+        return proxy.shutdown.wait_for_last_answers().await;
+    };
+    monoio::select! {
+        () = sleep_ms(at.left()) => {}
+        () = proxy.shutdown.wait_for_last_answers() => {}
+    }
+}
+
 /// Reads the caller's next message.
 pub async fn read_request(codec: Codec, link: &mut BufferedStream) -> SessionEvent {
     loop {
@@ -337,15 +348,17 @@
         }
     }
 
-    /// Runs a statement, which counts as unanswered meanwhile. If the daemon must send its last
-    /// answers first, whatever the statement waits for is given up.
+    /// Runs a statement, which counts as unanswered meanwhile. If the last answers of a stop are due
+    /// first, whatever the statement waits for is given up.
     async fn answer(&mut self, proxy: &Rc<Proxy>, statement: &Statement) -> Reply {
         let progress = proxy.shutdown.on_statement(&statement.id);
-        if !proxy.shutdown.is_answering() {
+        let answer_by = self.answer_by(proxy);
+        let is_due = answer_by.is_some_and(|at| at.left() == 0);
+        if !is_due && !proxy.shutdown.is_answering() {
             monoio::select! {
                 biased;
                 reply = self.run_statement(proxy, statement, &progress) => return reply,
-                () = proxy.shutdown.wait_for_last_answers() => {}
+                () = last_answers(proxy, answer_by) => {}
             }
         }
         let reply = self.give_up(&statement.verb, &progress);
@@ -362,6 +375,12 @@
         reply
     }
 
+    /// When a statement must be answered at the latest, if this daemon or the one that handed the session
+    /// off stops.
+    fn answer_by(&self, proxy: &Proxy) -> Option<Ms> {
+        proxy.answer_by(self.origin.as_deref(), self.opened_at)
+    }
+
     /// The reply to a statement that is given up: what is true whether or not the member goes on with
     /// it. The connection of a transaction is closed, so that its member rolls back.
     fn give_up(&mut self, verb: &Verb, progress: &Progress) -> Reply {
@@ -493,32 +512,37 @@
             write: false,
             progress,
         };
-        let cx = StatementContext::new(
-            proxy,
-            &group,
-            &route,
-            self.identity,
-            self.last_write,
-            progress.arrival,
-        );
+        let cx = self.context(proxy, &group, &route, progress.arrival);
         let reply = tx.commit(&cx, &task, &self.vars).await;
         record_outcome(proxy, &cx, &task, &reply);
         self.record_position(&reply, true);
         self.with_session_state(reply)
     }
 
+    fn context<'a>(
+        &self,
+        proxy: &'a Rc<Proxy>,
+        group: &'a Rc<Group>,
+        route: &'a Route,
+        arrival: Ms,
+    ) -> StatementContext<'a> {
+        let timeout = arrival.plus(route.timeout);
+        let deadline = self.answer_by(proxy).map_or(timeout, |at| at.min(timeout));
+        StatementContext::new(
+            proxy,
+            group,
+            route,
+            self.identity,
+            self.last_write,
+            deadline,
+        )
+    }
+
     async fn run_task(&mut self, proxy: &Rc<Proxy>, task: StatementTask<'_>) -> Reply {
         let Some((route, group)) = proxy.route(&self.database) else {
             return self.with_session_state(Reply::error(ErrorKind::NoDatabase, &self.database));
         };
-        let cx = StatementContext::new(
-            proxy,
-            &group,
-            &route,
-            self.identity,
-            self.last_write,
-            task.arrival(),
-        );
+        let cx = self.context(proxy, &group, &route, task.arrival());
         let reply = match self.tx.as_mut() {
             Some(tx) => tx.run(&cx, &task, &self.vars).await,
             None => run_single(&cx, &task, &self.vars).await,
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -19,6 +19,8 @@
 /// Time before the last answers in which sessions are ended inside transactions too, in ms: a statement
 /// that arrived later would hardly be served.
 const FORCED_END_WINDOW_MS: u64 = 900;
+/// Time that an owner's answer has for its way to the caller's daemon, in ms.
+const ANSWER_DELIVERY_MS: u64 = 100;
 /// Poll interval for open sessions during the stop, in ms.
 const POLL_INTERVAL_MS: u64 = 20;
 
@@ -51,6 +53,15 @@
     next_key: Cell<u64>,
 }
 
+/// The announcement of another VM that it stops.
+#[derive(Clone, Copy, Debug)]
+pub struct StopNotice {
+    /// When it was last received.
+    pub at: Ms,
+    /// When answers must be on their way to that VM at the latest, if it has told that.
+    pub answer_by: Option<Ms>,
+}
+
 /// A statement that counts as unanswered until this is dropped.
 pub struct Unanswered<'a> {
     shutdown: &'a Shutdown,
@@ -58,13 +69,26 @@
     progress: Rc<Progress>,
 }
 
+impl StopNotice {
+    /// A notice that has just been received; `answer_within_ms` is for how long the VM can still pass on
+    /// answers.
+    pub fn new(answer_within_ms: Option<u64>) -> StopNotice {
+        let now = Ms::now();
+        let answer_by = |ms: u64| now.plus(ms.saturating_sub(ANSWER_DELIVERY_MS));
+        StopNotice {
+            at: now,
+            answer_by: answer_within_ms.map(answer_by),
+        }
+    }
+}
+
 impl Shutdown {
     pub fn phase(&self) -> Phase {
         self.phase.get()
     }
 
     /// Goes on to a phase, unless it has been reached; returns the phase before.
-    pub(crate) fn advance(&self, phase: Phase) -> Phase {
+    pub fn advance(&self, phase: Phase) -> Phase {
         let before = self.phase.replace(phase.max(self.phase.get()));
         if phase > before && phase == Phase::Answering {
             self.last_answers.notify();
@@ -72,14 +96,15 @@
         before
     }
 
-    /// When a statement must be answered at the latest.
-    pub fn answer_by(&self) -> Ms {
-        self.answer_by.get().unwrap_or(Ms(u64::MAX))
+    /// When a statement must be answered at the latest; `None` before the stop.
+    pub fn answer_by(&self) -> Option<Ms> {
+        self.answer_by.get()
     }
 
     /// Whether no statement is begun any more.
     pub fn is_answering(&self) -> bool {
-        self.phase() >= Phase::Answering || self.answer_by().left() == 0
+        let has_come = |at: Ms| at.left() == 0;
+        self.phase() >= Phase::Answering || self.answer_by.get().is_some_and(has_come)
     }
 
     /// Waits until statements that are unanswered must be given up.
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,7 +8,7 @@
 use base::{Ms, Signal, sleep_ms};
 
 use crate::owner_set::{OwnerBasis, OwnerSet};
-use crate::shutdown::{Phase, Shutdown};
+use crate::shutdown::{Phase, Shutdown, StopNotice};
 use crate::{
     AccountKey, Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers,
     Placement, Quota, QuotaApi, Route, Settings, Stats, tunnel,
@@ -57,9 +57,9 @@
     pub sessions: Cell<u64>,
     /// The planned stop of this daemon.
     pub(crate) shutdown: Shutdown,
-    /// VMs that have announced that they are stopping, and when they last did. What they hand off later
-    /// is of another process, or announced again.
-    stopping_vms: RefCell<HashMap<Box<str>, Ms>>,
+    /// VMs that have announced that they are stopping. What they hand off later is of another process,
+    /// or announced again.
+    stopping_vms: RefCell<HashMap<Box<str>, StopNotice>>,
     /// Notified when sessions must check whether they are to end.
     pub stop_signal: Signal,
     /// Members whose group is in no configuration yet, by identifier.
@@ -201,24 +201,41 @@
             self.quota.stop();
             // Only these serve sessions of this daemon; a session handed off later announces the
             // stop itself.
-            tunnel::announce_stop(self.peers.hand_off_targets(), &self.settings.name);
+            let (targets, answer_by) = (self.peers.hand_off_targets(), self.shutdown.answer_by());
+            tunnel::announce_stop(targets, &self.settings.name, answer_by);
         }
     }
 
-    /// Ends the sessions that a VM has handed off, once they are between transactions.
-    pub(crate) fn drain_sessions_from(&self, vm: &str) {
+    /// Ends the sessions that a VM has handed off, once they are between transactions. It can pass on
+    /// answers for `answer_within_ms` more, if it has told that.
+    pub(crate) fn drain_sessions_from(&self, vm: &str, answer_within_ms: Option<u64>) {
         let mut stopping_vms = self.stopping_vms.borrow_mut();
-        stopping_vms.retain(|_, at| at.elapsed() <= STOP_NOTICE_TTL_MS);
-        stopping_vms.insert(vm.into(), Ms::now());
+        stopping_vms.retain(|_, notice| notice.at.elapsed() <= STOP_NOTICE_TTL_MS);
+        stopping_vms.insert(vm.into(), StopNotice::new(answer_within_ms));
         self.stop_signal.notify();
     }
 
     /// Whether a session that was opened at `opened_at` ends once it is between transactions; `origin`
     /// is the VM that has handed it off, if any.
     pub(crate) fn is_draining(&self, origin: Option<&str>, opened_at: Ms) -> bool {
-        let stopping_vms = self.stopping_vms.borrow();
-        let has_announced = |vm| stopping_vms.get(vm).is_some_and(|at: &Ms| *at >= opened_at);
-        self.shutdown.phase() >= Phase::Draining || origin.is_some_and(has_announced)
+        self.shutdown.phase() >= Phase::Draining || self.stop_notice(origin, opened_at).is_some()
+    }
+
+    /// When the statements of a session must be answered at the latest, if this daemon or the `origin` of
+    /// the session stops.
+    pub(crate) fn answer_by(&self, origin: Option<&str>, opened_at: Ms) -> Option<Ms> {
+        let notice = self.stop_notice(origin, opened_at);
+        let at_origin = notice.and_then(|notice| notice.answer_by);
+        [self.shutdown.answer_by(), at_origin]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// The announcement that the VM which has handed a session off stops, made since `opened_at`.
+    fn stop_notice(&self, origin: Option<&str>, opened_at: Ms) -> Option<StopNotice> {
+        let notice = self.stopping_vms.borrow().get(origin?).copied();
+        notice.filter(|notice| notice.at >= opened_at)
     }
 
     /// The owners of a group that may serve a session before this daemon does, in the order in which
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -4,16 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{Event, emit, sleep_ms};
+use base::{Event, Ms, emit, sleep_ms};
 use bytes::BytesMut;
 use link::BufferedStream;
 use monoio::net::TcpStream;
 use quick_error::quick_error;
 
-use super::head::{encode_request, header};
+use super::head::{encode_request, encode_stop, header};
 use super::{
-    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, QUOTA_PREFIX, STOP_PREFIX,
-    VERSION_HEADER, with_peer_timeout,
+    CONFIG_PREFIX, HEAD_END, MAX_HEAD_BYTES, PEER_IO_TIMEOUT_MS, QUOTA_PREFIX, VERSION_HEADER,
+    with_peer_timeout,
 };
 use crate::Peer;
 
@@ -151,13 +151,15 @@
 }
 
 /// Requests daemons, each in a background task, to end the sessions that this VM handed off to
-/// them, each session once it is outside a transaction.
-pub fn announce_stop(peers: Vec<Peer>, vm: &str) {
+/// them, each session once it is outside a transaction. `answer_by` is when this VM passes on the last
+/// answers, if that is known.
+pub fn announce_stop(peers: Vec<Peer>, vm: &str, answer_by: Option<Ms>) {
     for peer in peers {
-        let target = format!("{STOP_PREFIX}{vm}");
+        let vm = vm.to_owned();
         monoio::spawn(async move {
             for _ in 0..MAX_STOP_ATTEMPTS {
-                match connect_to_peer(peer.addr, &target).await {
+                let head = encode_stop(&vm, answer_by.map(Ms::left));
+                match send_head(peer.addr, &head).await {
                     Ok(_) => return,
                     Err(e) => emit(Event::TunnelFailed, &[("peer", &peer.name), ("cause", &e)]),
                 }
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -48,7 +48,8 @@
             proxy.hear_version(*version, &peer.name);
         }
         if answer.is_ok() && proxy.shutdown.phase() >= Phase::Draining {
-            announce_stop(vec![peer.clone()], &proxy.settings.name);
+            let answer_by = proxy.shutdown.answer_by();
+            announce_stop(vec![peer.clone()], &proxy.settings.name, answer_by);
         }
         // An answer without a version is from an earlier release, which would wait for the first
         // message.
--- a/crates/proxy/src/tunnel/head.rs
+++ b/crates/proxy/src/tunnel/head.rs
@@ -2,18 +2,34 @@
 
 use std::fmt::Write;
 
-use super::SESSION_PREFIX;
+use super::{SESSION_PREFIX, STOP_PREFIX};
 use crate::{Credential, SessionRequest};
 
 const DATABASE_HEADER: &str = "database";
 const CREDENTIAL_HEADER: &str = "credential";
 const ACCOUNT_HEADER: &str = "account";
+const ANSWER_HEADER: &str = "answer-within-ms";
 
 /// Encodes the head of a request without headers of its own.
 pub fn encode_request(target: &str) -> String {
     format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n")
 }
 
+/// Encodes the head of the announcement that a VM stops; it can pass on answers for `answer_within_ms`
+/// more, if it tells that.
+pub fn encode_stop(vm: &str, answer_within_ms: Option<u64>) -> String {
+    let target = format!("{STOP_PREFIX}{vm}");
+    let Some(ms) = answer_within_ms else {
+        return encode_request(&target);
+    };
+    format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n{ANSWER_HEADER}: {ms}\r\n\r\n")
+}
+
+/// For how long a stopping VM can pass on answers, in ms; `None` if it does not tell, as earlier releases.
+pub fn decode_stop(head: &str) -> Option<u64> {
+    header(head, ANSWER_HEADER)?.parse().ok()
+}
+
 /// Encodes the head of a hand-off by a daemon with this version of the configuration.
 pub fn encode_hand_off(version: u64, request: &SessionRequest) -> String {
     let origin = escape(request.origin.as_deref().unwrap_or_default());
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -9,7 +9,8 @@
 //! - `quota.VERSION.SHARD`: requests to the keeper of a shard of the rate limits.
 //! - `version.VERSION.VM`: the version of the configuration in force on a VM; no bytes follow the
 //!   response.
-//! - `stop.VM`: the announcement that a VM stops; no bytes follow the response.
+//! - `stop.VM`: the announcement that a VM stops; no bytes follow the response. The header
+//!   `answer-within-ms` says for how long it can pass on answers.
 //!
 //! The responses to a hand-off, a push and a version name the version of the configuration in force in the
 //! header `version`. Of two daemons, the one with the newer configuration pushes it to the other.
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -57,7 +57,7 @@
 async fn handle_request(proxy: &Rc<Proxy>, mut stream: TcpStream, head: &str) -> io::Result<()> {
     let target = head::target(head).unwrap_or_default();
     if let Some(vm) = target.strip_prefix(STOP_PREFIX) {
-        proxy.drain_sessions_from(vm);
+        proxy.drain_sessions_from(vm, head::decode_stop(head));
         return write_response(&mut stream, STATUS_OK).await;
     }
     if let Some(version) = target.strip_prefix(CONFIG_PREFIX) {
