--- a/crates/proxy/src/exec.rs
+++ b/crates/proxy/src/exec.rs
@@ -1,19 +1,22 @@
 //! Runs single statements: chooses a member, retries where that is safe, maps errors to replies.
 
+mod task;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use base::{Event, Ms, emit, sleep_ms};
 use schema::Pos;
 
+pub use task::StatementTask;
+
 use crate::group::{ConnRequest, Refusal};
-use crate::progress::{Progress, Stage};
+use crate::progress::Stage;
 use crate::quota::Charge;
 use crate::routing::{Requirement, read_requirement};
 use crate::stats::ReadLabels;
 use crate::{
-    Command, Conn, ConnError, ErrorKind, Freshness, Group, Identity, Member, PreparedStatement,
-    Proxy, Rank, Reply, Role, Route, Statement,
+    Conn, ConnError, ErrorKind, Freshness, Group, Identity, Member, Proxy, Rank, Reply, Role, Route,
 };
 
 /// Time for which a member that replied `Busy` is given no reads that any member may serve.
@@ -28,71 +31,6 @@
 /// How long a write's reply is held back for a lease that covers the instant of the reply.
 const LEASE_WAIT_MS: u64 = 400;
 
-/// A statement being executed for a caller.
-pub struct StatementTask<'a> {
-    pub statement: &'a Statement,
-    /// For an `Execute`: the prepared statement and its arguments.
-    pub prepared: Option<(&'a PreparedStatement, &'a str)>,
-    pub write: bool,
-    pub progress: &'a Progress,
-}
-
-impl StatementTask<'_> {
-    /// The prepared statement that the connection must have.
-    pub fn prepared(&self) -> Option<&PreparedStatement> {
-        self.prepared.map(|(prepared, _)| prepared)
-    }
-
-    /// When it was read from the caller.
-    pub fn arrival(&self) -> Ms {
-        self.progress.arrival
-    }
-
-    /// Sends the statement on a connection and reads the reply.
-    ///
-    /// `after` is the position that the member's log must contain.
-    ///
-    /// # Errors
-    /// As `Conn::run`.
-    pub async fn send(
-        &self,
-        conn: &mut Conn,
-        after: Option<Pos>,
-        timeout_ms: u64,
-    ) -> Result<Reply, ConnError> {
-        self.progress.stage.set(Stage::Reply);
-        let result = self.run_on(conn, after, timeout_ms).await;
-        let kind = result.as_ref().ok().and_then(Reply::error_kind);
-        if kind.is_some_and(ErrorKind::is_not_run) {
-            self.progress.stage.set(Stage::Connection);
-        }
-        result
-    }
-
-    async fn run_on(
-        &self,
-        conn: &mut Conn,
-        after: Option<Pos>,
-        timeout_ms: u64,
-    ) -> Result<Reply, ConnError> {
-        let id = &self.statement.id;
-        let Some((prepared, args)) = self.prepared else {
-            let text = &self.statement.text;
-            return conn
-                .run(&Command::Run { id, after, text }, timeout_ms)
-                .await;
-        };
-        let name = conn.statement_name(prepared).unwrap_or_default();
-        let command = Command::Execute {
-            id,
-            after,
-            name: &name,
-            args,
-        };
-        conn.run(&command, timeout_ms).await
-    }
-}
-
 /// Failed attempts at one statement.
 #[derive(Default)]
 pub struct Attempts {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -55,6 +55,8 @@
 mod state;
 mod statement;
 mod stats;
+mod stop_notice;
+mod stop_schedule;
 mod throughput;
 mod transaction;
 pub mod tunnel;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,21 +1,24 @@
 //! One caller's session, after its handshake.
 
+mod ending;
+mod last_answer;
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Event, Ms, emit, sleep_ms};
+use base::Ms;
 use bytes::BytesMut;
 use link::BufferedStream;
 use schema::Pos;
 
-use crate::closing::{close_after_reply, read_arrived, read_arriving};
+use crate::closing::read_arriving;
 use crate::exec::{StatementContext, StatementTask, run_single};
 use crate::key_check::KeyCheck;
 use crate::outcome::record_outcome;
 use crate::progress::{Progress, Stage};
-use crate::shutdown::Phase;
 use crate::statement::SessionVars;
+use crate::stop_schedule::Phase;
 use crate::transaction::Transaction;
 use crate::{
     Codec, ErrorKind, Group, Identity, PreparedStatement, Proxy, Reply, ReplyEnd, Request, Route,
@@ -69,17 +72,6 @@
     proxy.shutdown.phase() >= Phase::Ending
 }
 
-/// Waits until the last answers are due: at this instant, or when this daemon says so.
-async fn last_answers(proxy: &Proxy, answer_by: Option<Ms>) {
-    let Some(at) = answer_by else {
-        return proxy.shutdown.wait_for_last_answers().await;
-    };
-    monoio::select! {
-        () = sleep_ms(at.left()) => {}
-        () = proxy.shutdown.wait_for_last_answers() => {}
-    }
-}
-
 /// Reads the caller's next message.
 pub async fn read_request(codec: Codec, link: &mut BufferedStream) -> SessionEvent {
     loop {
@@ -229,72 +221,6 @@
         }
     }
 
-    /// Ends the session before its next statement.
-    async fn end(&mut self, proxy: &Proxy, link: &mut BufferedStream) {
-        if !self.key.is_withdrawn() {
-            return self.send_away(proxy, link).await;
-        }
-        read_arrived(link).await;
-        // A statement may be on its way from the daemon that handed the session off; this answers
-        // it.
-        if self.origin.is_some() || !link.input.is_empty() {
-            self.deny(proxy, link).await;
-            return;
-        }
-        self.key.log_end(&self.database, self.origin.as_deref());
-    }
-
-    /// Ends the session of a caller that has sent nothing further. The daemon that handed the session
-    /// off gets an error, which answers a statement that is on its way from there. A caller's own
-    /// connection is only closed: it may take an error for the answer to its next statement.
-    async fn send_away(&mut self, proxy: &Proxy, link: &mut BufferedStream) {
-        // In doubt, nothing may be promised about the transaction.
-        if self.tx_in_doubt || self.origin.is_none() {
-            if proxy.shutdown.is_answering() {
-                // The last answer may still be on its way.
-                close_after_reply(link).await;
-            }
-            return;
-        }
-        let kind = if self.tx_state == TxState::Open {
-            self.tx_state = TxState::Failed;
-            ErrorKind::Aborted
-        } else {
-            ErrorKind::Busy
-        };
-        self.send_last(proxy, link, Reply::error(kind, ENDED)).await;
-    }
-
-    /// Sends the error reply for a withdrawn key and closes the connection.
-    async fn deny(&self, proxy: &Proxy, link: &mut BufferedStream) {
-        self.key.log_end(&self.database, self.origin.as_deref());
-        let reply = Reply::error(ErrorKind::Denied, KeyCheck::WITHDRAWN);
-        self.send_last(proxy, link, reply).await;
-    }
-
-    /// Sends an error reply, after which nothing is run, and closes the connection.
-    async fn send_last(&self, proxy: &Proxy, link: &mut BufferedStream, reply: Reply) {
-        let mut out = BytesMut::new();
-        (proxy.codec.reply)(&self.with_session_state(reply), &mut out);
-        // Send errors are ignored: the session ends in any case.
-        let _ = link.send(&out).await;
-        close_after_reply(link).await;
-    }
-
-    /// Sends the error reply for undecodable input and closes the connection.
-    async fn send_protocol_error(&self, proxy: &Proxy, link: &mut BufferedStream, e: WireError) {
-        let kind = match e {
-            WireError::TooLong => ErrorKind::TooLarge,
-            WireError::Malformed => ErrorKind::Malformed,
-        };
-        let mut out = BytesMut::new();
-        let reply = self.with_session_state(Reply::error(kind, &e.to_string()));
-        (proxy.codec.reply)(&reply, &mut out);
-        // Send errors are ignored: the session ends in any case.
-        let _ = link.send(&out).await;
-        let _ = link.shut_down().await;
-    }
-
     /// Waits for the next message, the idle timeout of an open transaction, or the stop signal. The
     /// timeout counts from `idle_since`, because the signal also fires with each configuration.
     async fn next_event(
@@ -348,63 +274,6 @@
         }
     }
 
-    /// Runs a statement, which counts as unanswered meanwhile. If the last answers of a stop are due
-    /// first, whatever the statement waits for is given up.
-    async fn answer(&mut self, proxy: &Rc<Proxy>, statement: &Statement) -> Reply {
-        let progress = proxy.shutdown.on_statement(&statement.id);
-        let answer_by = self.answer_by(proxy);
-        let is_due = answer_by.is_some_and(|at| at.left() == 0);
-        if !is_due && !proxy.shutdown.is_answering() {
-            monoio::select! {
-                biased;
-                reply = self.run_statement(proxy, statement, &progress) => return reply,
-                () = last_answers(proxy, answer_by) => {}
-            }
-        }
-        let reply = self.give_up(&statement.verb, &progress);
-        proxy.stats.given_up.inc();
-        emit(
-            Event::StatementGivenUp,
-            &[
-                ("id", &progress.id),
-                ("stage", &format!("{:?}", progress.stage.get())),
-                ("kind", &format!("{:?}", reply.error_kind())),
-                ("waited", &progress.arrival.elapsed()),
-            ],
-        );
-        reply
-    }
-
-    /// When a statement must be answered at the latest, if this daemon or the one that handed the session
-    /// off stops.
-    fn answer_by(&self, proxy: &Proxy) -> Option<Ms> {
-        proxy.answer_by(self.origin.as_deref(), self.opened_at)
-    }
-
-    /// The reply to a statement that is given up: what is true whether or not the member goes on with
-    /// it. The connection of a transaction is closed, so that its member rolls back.
-    fn give_up(&mut self, verb: &Verb, progress: &Progress) -> Reply {
-        self.tx = None;
-        let state = self.tx_state;
-        if matches!(verb, Verb::Commit | Verb::Rollback) {
-            self.tx_state = TxState::Idle;
-        }
-        let kind = match (verb, state) {
-            (Verb::Rollback, _) => return self.with_session_state(Reply::ok()),
-            (Verb::Commit, _) if std::mem::take(&mut self.tx_in_doubt) => ErrorKind::InDoubt,
-            _ if progress.may_have_written() => ErrorKind::InDoubt,
-            (Verb::Commit, _) => ErrorKind::Aborted,
-            (_, TxState::Failed) => return self.malformed("the transaction has failed"),
-            (_, TxState::Open) => {
-                self.tx_state = TxState::Failed;
-                ErrorKind::Aborted
-            }
-            (_, TxState::Idle) if progress.may_have_run() => ErrorKind::TimedOut,
-            (_, TxState::Idle) => ErrorKind::Busy,
-        };
-        self.with_session_state(Reply::error(kind, ENDED))
-    }
-
     async fn run_statement(
         &mut self,
         proxy: &Rc<Proxy>,
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The planned stop of a daemon: its phases, and the statements that are unanswered meanwhile.
+//! The planned stop of a daemon, and the statements that are unanswered meanwhile.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -9,36 +9,11 @@
 
 use crate::Proxy;
 use crate::progress::Progress;
+use crate::stop_schedule::{Phase, Schedule};
 
-/// Time that the load balancer needs to notice that a daemon is no longer ready.
-const BALANCER_NOTICE_MS: u64 = 2500;
-/// Part of the grace period, at its end, in which last answers are sent and reach the callers, in ms.
-const LAST_ANSWERS_MS: u64 = 400;
-/// Part of the grace period, at its end, reserved for the exit of the process, in ms.
-const EXIT_MS: u64 = 100;
-/// Time before the last answers in which sessions are ended inside transactions too, in ms: a statement
-/// that arrived later would hardly be served.
-const FORCED_END_WINDOW_MS: u64 = 900;
-/// Time that an owner's answer has for its way to the caller's daemon, in ms.
-const ANSWER_DELIVERY_MS: u64 = 100;
 /// Poll interval for open sessions during the stop, in ms.
 const POLL_INTERVAL_MS: u64 = 20;
 
-/// How far the stop has come.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Phase {
-    #[default]
-    Serving,
-    /// The daemon takes no sessions from other daemons, and is given time to leave the load balancer.
-    Leaving,
-    /// Sessions end as soon as they are between transactions.
-    Draining,
-    /// Sessions end inside transactions too, unless an answer is outstanding.
-    Ending,
-    /// Statements that are unanswered are given up, and answered by what was sent of them.
-    Answering,
-}
-
 /// State of the planned stop.
 #[derive(Debug, Default)]
 pub struct Shutdown {
@@ -53,15 +28,6 @@
     next_key: Cell<u64>,
 }
 
-/// The announcement of another VM that it stops.
-#[derive(Clone, Copy, Debug)]
-pub struct StopNotice {
-    /// When it was last received.
-    pub at: Ms,
-    /// When answers must be on their way to that VM at the latest, if it has told that.
-    pub answer_by: Option<Ms>,
-}
-
 /// A statement that counts as unanswered until this is dropped.
 pub struct Unanswered<'a> {
     shutdown: &'a Shutdown,
@@ -69,19 +35,6 @@
     progress: Rc<Progress>,
 }
 
-impl StopNotice {
-    /// A notice that has just been received; `answer_within_ms` is for how long the VM can still pass on
-    /// answers.
-    pub fn new(answer_within_ms: Option<u64>) -> StopNotice {
-        let now = Ms::now();
-        let answer_by = |ms: u64| now.plus(ms.saturating_sub(ANSWER_DELIVERY_MS));
-        StopNotice {
-            at: now,
-            answer_by: answer_within_ms.map(answer_by),
-        }
-    }
-}
-
 impl Shutdown {
     pub fn phase(&self) -> Phase {
         self.phase.get()
@@ -158,44 +111,6 @@
     }
 }
 
-/// When the phases of a stop begin.
-struct Schedule {
-    draining: Ms,
-    ending: Ms,
-    answering: Ms,
-    /// When the process ends at the latest.
-    exit: Ms,
-}
-
-impl Schedule {
-    /// The schedule of a daemon that is told to stop now and is killed after `grace_ms`. A transaction
-    /// that is open then has the first half of that time.
-    fn new(grace_ms: u64) -> Schedule {
-        let now = Ms::now();
-        let half_ms = grace_ms / 2;
-        let answering_ms = grace_ms - LAST_ANSWERS_MS.min(grace_ms / 4);
-        let ending_ms = answering_ms.saturating_sub(FORCED_END_WINDOW_MS);
-        Schedule {
-            draining: now.plus(BALANCER_NOTICE_MS.min(half_ms)),
-            ending: now.plus(ending_ms.max(half_ms)),
-            answering: now.plus(answering_ms),
-            exit: now.plus(grace_ms - EXIT_MS.min(grace_ms / 16)),
-        }
-    }
-
-    fn phase(&self, now: Ms) -> Phase {
-        if now < self.draining {
-            Phase::Leaving
-        } else if now < self.ending {
-            Phase::Draining
-        } else if now < self.answering {
-            Phase::Ending
-        } else {
-            Phase::Answering
-        }
-    }
-}
-
 /// Stops a daemon that will be killed after `grace_ms`, in the order of `Phase`.
 pub async fn shut_down(proxy: &Rc<Proxy>, grace_ms: u64) {
     let schedule = Schedule::new(grace_ms);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,7 +8,9 @@
 use base::{Ms, Signal, sleep_ms};
 
 use crate::owner_set::{OwnerBasis, OwnerSet};
-use crate::shutdown::{Phase, Shutdown, StopNotice};
+use crate::shutdown::Shutdown;
+use crate::stop_notice::StopNotice;
+use crate::stop_schedule::Phase;
 use crate::{
     AccountKey, Accounts, Candidate, Codec, FailoverApi, Group, MemberRecord, Peer, Peers,
     Placement, Quota, QuotaApi, Route, Settings, Stats, tunnel,
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -8,12 +8,13 @@
 use link::BufferedStream;
 
 use super::connect::{PeerError, announce_stop, send_head};
-use super::exchange::{Due, Exchange};
+use super::due::Due;
+use super::exchange::Exchange;
 use super::head::encode_hand_off;
 use crate::closing::{close_after_reply, read_arrived};
 use crate::key_check::KeyCheck;
 use crate::session::ENDED;
-use crate::shutdown::Phase;
+use crate::stop_schedule::Phase;
 use crate::{ErrorKind, Identity, Peer, Proxy, Reply, ReplyEnd, ReplyPart, SessionRequest};
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -22,6 +22,7 @@
 //! make it look newer.
 
 mod connect;
+mod due;
 mod exchange;
 mod get;
 mod hand_off;
