Stop: no error follows a success that was passed on already

Found by reading the diff: where the owner ended between the line of a success and the line READY, the caller's daemon would have appended INDOUBT to a reply that said success; the caller takes one of them for the next reply. Such a reply now counts as cut, like one in the middle of a line.

Measured: nothing_follows_a_part_of_a_reply_but_rows failed before (the case "COMPLETE", not cut) and passes; stop_answers, session_hand_off and stop_hand_off pass.

--- a/crates/proxy/src/tunnel/exchange.rs
+++ b/crates/proxy/src/tunnel/exchange.rs
@@ -17,6 +17,9 @@
     /// Messages passed to the owner and not answered yet. The connect request, which the head of
     /// the hand-off stands for, is the first.
     due: VecDeque<Due>,
+    /// Whether the success or error of the reply that is due was passed to the caller, which only the
+    /// state of the transaction may follow.
+    has_end: bool,
     /// Transaction state in the last reply.
     state: TxState,
     /// Whether the caller sent what cannot be decoded. The owner closes the connection after its
@@ -31,6 +34,7 @@
             requests: BytesMut::new(),
             replies: BytesMut::new(),
             due: VecDeque::from([Due::Connect]),
+            has_end: false,
             state: TxState::Idle,
             is_undecodable: false,
         }
@@ -56,9 +60,10 @@
         self.state == TxState::Failed
     }
 
-    /// Whether the reply that is due was passed to the caller up to the middle of a message.
+    /// Whether the reply that is due was passed to the caller up to a place at which no error can
+    /// follow: the middle of a message, or its success or error.
     pub fn is_reply_cut(&self) -> bool {
-        !self.replies.is_empty()
+        self.has_end || !self.replies.is_empty()
     }
 
     /// Takes the messages that are not answered, to be answered without the owner.
@@ -128,9 +133,11 @@
             match (self.codec.reply_part)(&mut self.replies)? {
                 Some(ReplyPart::Ready(state, _)) => {
                     self.due.pop_front();
+                    self.has_end = false;
                     self.state = state;
                 }
-                Some(ReplyPart::Row(_) | ReplyPart::End(_)) => {}
+                Some(ReplyPart::Row(_)) => {}
+                Some(ReplyPart::End(_)) => self.has_end = true,
                 None => break,
             }
         }
