KNOWN-RED: an order of before a restore that a restarted VM repeats

Log: vm-0 ordered under 31 and, after a planned stop, under 50; another stop; the store came back from a copy with order 31; the new process took it for its own on its way and repeated it (H742 change= order=31 call=1).

Cause, by reading and by a test: since an order is a VM's own by its name, also after a restart; after a restore that process cannot know what its former ones have sent since the copy. The test fails and is listed.

--- a/crates/proxy/tests/promotion_order.rs
+++ b/crates/proxy/tests/promotion_order.rs
@@ -213,3 +213,18 @@
     assert_eq!(log.next_call(&[], 7), 1);
     assert_eq!(log.next_call(&orders, 7), 2);
 }
+
+/// Guards against tokens that fall at the platform: the store comes back from a copy that has an order of
+/// this VM which was settled since, and a process that has started meanwhile knows nothing of the higher
+/// token under which the one before it has ordered.
+#[test]
+#[ignore = "fails, listed in KNOWN-RED.txt"]
+fn an_order_of_before_a_restore_is_not_repeated_by_a_restarted_vm() {
+    const TOKEN_AFTER_RESTORE: u64 = (1 << 36) + 63;
+    let mut orders = vec![order("b", 2, 31, false)];
+    let mut log = OrderLog::new("vm-1");
+    log.update(&mut orders, Ms(1000));
+    let is_repeated = log.other_on_way(&orders).is_none()
+        && log.next_token(&orders, TOKEN_AFTER_RESTORE, 31) < TOKEN_AFTER_RESTORE;
+    assert!(!is_repeated);
+}
