Orders: log the era of the store in which the right was claimed

The era is part of the token; its layout moves from the adapter to the type of the token, so that the proxy can read it.

--- a/crates/proxy/src/failover_api.rs
+++ b/crates/proxy/src/failover_api.rs
@@ -6,10 +6,8 @@
 use base::Ms;
 use schema::Pos;
 
-use crate::{MemberRecord, OrderAnswer, PromotionOrder, ReplicaRecordApi};
+use crate::{FencingToken, MemberRecord, OrderAnswer, PromotionOrder, ReplicaRecordApi};
 
-/// Number that grows with every claim to change the primary of a group.
-pub type FencingToken = u64;
 /// Boxed future of the answer to an asynchronous call.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
--- a/crates/proxy/src/group/orders.rs
+++ b/crates/proxy/src/group/orders.rs
@@ -4,7 +4,7 @@
 
 use super::Group;
 use crate::promotion_order::{PromotionOrder, settle};
-use crate::{ChangeRecord, Leader};
+use crate::{ChangeRecord, Leader, token_era};
 
 impl Group {
     /// Takes over the orders of a record that was read under a claim, or written. Those that are settled
@@ -61,6 +61,7 @@
                 ("term", &order.term),
                 ("order", &order.token),
                 ("holder", &order.holder),
+                ("era", &token_era(order.token)),
                 ("accepted", &order.is_accepted),
                 ("age_ms", &self.order_log.borrow().age_ms(order, Ms::now())),
             ],
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod failover_api;
 mod failure_detector;
 mod fence;
+mod fencing_token;
 mod group;
 mod handshake;
 mod health_check;
@@ -71,11 +72,12 @@
 pub use credential::Credential;
 pub use failover::{AbortReason, AbortSeries};
 pub use failover_api::{
-    AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, FencingToken, LastPrimary, Leader,
-    OrderConn, OrderedEnd, Promotion, RecordUpdate, Release,
+    AsyncCall, BoxFuture, ChangeRecord, Claim, FailoverApi, LastPrimary, Leader, OrderConn,
+    OrderedEnd, Promotion, RecordUpdate, Release,
 };
 pub use failure_detector::{FailoverCause, PrimaryHealth, detect_failure};
 pub use fence::{Demotion, FenceHold, FenceReport};
+pub use fencing_token::{FencingToken, fencing_token, token_era};
 pub use group::{Group, RouteKey};
 pub use handshake::serve;
 pub use health_check::check_interval_ms;
