Sessions: the next daemon in the ranking stands in while no owner answers

Cause: owners are chosen among all daemons on record, and no other daemon takes the place of those that do not answer.

Change: daemons remember which others do not answer and check them in the background. After 0.75 s without an owner, the session goes to the first daemon behind them that answers, which checks for itself that nobody before it does. It opens one connection to a member as its own, and others while the member has free ones. Its sessions end once an owner answers. The time without a lease counts from the beginning of the service: short sessions at a stand-in, or at a new owner, found each statement refused at once.

--- a/crates/proxy/src/conn_budget.rs
+++ b/crates/proxy/src/conn_budget.rs
@@ -40,6 +40,8 @@
     pub growth: u64,
     /// Number of daemons that serve the group.
     pub owners: u64,
+    /// Whether this daemon is none of them, and serves the group because it knows or reaches none.
+    pub stands_in: bool,
     /// Number of statements that the member runs concurrently.
     pub slots: u64,
     /// Number of connections to the member that may be opened at once.
@@ -63,7 +65,13 @@
 
 impl ConnBudget {
     /// Connections of the member that this daemon opens without regard to the others.
+    ///
+    /// A daemon that stands in for the owners cannot know whether they use their shares behind a cut. It has
+    /// one connection, and others only as long as the member has free ones.
     pub fn share(&self) -> u64 {
+        if self.stands_in {
+            return 1;
+        }
         let share = self.limit.saturating_sub(self.reserve()) / self.owners.max(1);
         share.max(1)
     }
--- a/crates/proxy/src/group/account_conns.rs
+++ b/crates/proxy/src/group/account_conns.rs
@@ -35,6 +35,7 @@
             used: member.used_conns(),
             growth: member.conn_growth(),
             owners: owners.as_ref().map_or(MAX_OWNERS, |o| o.count),
+            stands_in: owners.as_ref().is_some_and(|o| !o.is_owner()),
             slots,
             // After a refusal, one opening at a time shows whether there is room again.
             max_opening: if member.refusals.get() > 0 { 1 } else { slots },
--- a/crates/proxy/src/group/mod.rs
+++ b/crates/proxy/src/group/mod.rs
@@ -78,6 +78,11 @@
     pub(crate) term_since: Cell<Ms>,
     /// Whether this daemon is an owner of the group.
     pub is_owner: Cell<bool>,
+    /// Until when this daemon serves the group as a stand-in, also without sessions: short sessions would
+    /// else each find no lease.
+    stand_in_until: Cell<Ms>,
+    /// When this daemon last began to serve the group.
+    served_since: Cell<Ms>,
     /// Whether no change of primary can succeed until a departed member comes back or an operator
     /// gives its commits up.
     pub is_blocked: Cell<bool>,
@@ -140,6 +145,8 @@
             ordered_term: Cell::new(0),
             term_since: Cell::new(Ms::now()),
             is_owner: Cell::new(false),
+            stand_in_until: Cell::default(),
+            served_since: Cell::default(),
             is_blocked: Cell::new(false),
             owner_set: RefCell::default(),
             sessions: Cell::new(0),
@@ -457,9 +464,27 @@
         (listed.len(), unreachable.count())
     }
 
-    /// Whether this daemon serves the group, as an owner or because of open sessions.
+    /// Whether this daemon serves the group, as an owner, as a stand-in or because of open sessions.
     pub fn is_served(&self) -> bool {
-        self.is_owner.get() || self.sessions.get() > 0
+        self.is_owner.get() || self.sessions.get() > 0 || self.is_stood_in()
+    }
+
+    /// Whether this daemon has lately served a session because no owner answered.
+    pub(crate) fn is_stood_in(&self) -> bool {
+        self.stand_in_until.get().left() > 0
+    }
+
+    /// Sets until when this daemon serves the group as a stand-in.
+    pub(crate) fn set_stand_in_until(&self, until: Ms) {
+        self.begin_service();
+        self.stand_in_until.set(until);
+    }
+
+    /// Notes that this daemon is about to serve the group: the time before says nothing of its primary.
+    pub(crate) fn begin_service(&self) {
+        if !self.is_served() {
+            self.served_since.set(Ms::now());
+        }
     }
 
     /// Whether a session that is between transactions ends now, because the group has other owners.
@@ -476,7 +501,8 @@
         if until > now {
             return false;
         }
-        let lost_for = now.0 - until.0.max(self.created_at.0);
+        let served_since = self.created_at.max(self.served_since.get());
+        let lost_for = now.0 - until.max(served_since).0;
         let recovering = self.primary_health().change_in_progress || self.newest_term() == 0;
         lost_for
             > if recovering {
--- a/crates/proxy/src/handshake.rs
+++ b/crates/proxy/src/handshake.rs
@@ -9,8 +9,11 @@
 use link::BufferedStream;
 
 use crate::key_check::KeyCheck;
+use crate::owner_set::Successor;
 use crate::session::{Session, SessionEvent, read_request};
-use crate::{Credential, Denial, ErrorKind, Proxy, Reply, Request, SessionRequest, tunnel};
+use crate::{
+    Credential, Denial, ErrorKind, Group, Peer, Proxy, Reply, Request, SessionRequest, tunnel,
+};
 
 /// Timeout of the wait for the caller's first message, in ms. A caller sends it when it connects, and
 /// waits for the answer for 2 s.
@@ -74,7 +77,17 @@
     NoOwner(BufferedStream),
 }
 
-/// Hands a session off to an owner of its group.
+/// What became of a session that no owner has accepted.
+enum StandInResult {
+    /// It was served by the daemon that stands in for the owners.
+    Served,
+    /// This daemon stands in for them.
+    Here(BufferedStream),
+    /// An owner may answer, or the daemon that is to stand in has refused.
+    Nobody(BufferedStream),
+}
+
+/// Hands a session off to an owner of its group, or to the daemon that stands in for the owners.
 ///
 /// # Errors
 /// Returns the connection when the session is to be served or refused here: this daemon is an
@@ -103,24 +116,66 @@
         let Some(owners) = proxy.remote_owners(&group, account) else {
             return Err(Kept::Here(link));
         };
-        match tunnel::hand_off(proxy, &owners, request, link).await {
+        // One that does not answer is checked in the background.
+        let is_asked = |p: &&Peer| !proxy.peers.is_silent(p);
+        let asked: Vec<Peer> = owners.iter().filter(is_asked).cloned().collect();
+        match tunnel::hand_off(proxy, &asked, request, link).await {
             Ok(()) => return Ok(()),
             // The owners that rank before this one for the account do not accept.
             Err(returned) if group.is_owner.get() => return Err(Kept::Here(returned)),
-            Err(returned) if is_over() && account.is_some() => {
-                return Err(Kept::NoOwner(returned));
-            }
-            Err(returned) if is_over() => return Err(Kept::Here(returned)),
             Err(returned) => link = returned,
         }
+        match hand_to_stand_in(proxy, &group, &owners, request, link).await {
+            StandInResult::Served => return Ok(()),
+            StandInResult::Here(returned) => return Err(Kept::Here(returned)),
+            StandInResult::Nobody(returned) => link = returned,
+        }
+        if is_over() {
+            return Err(if account.is_some() {
+                Kept::NoOwner(link)
+            } else {
+                Kept::Here(link)
+            });
+        }
         sleep_ms(HAND_OFF_RETRY_DELAY_MS).await;
     }
 }
 
+/// Hands a session to the daemon that stands in for the owners of its group, if none of them answers.
+async fn hand_to_stand_in(
+    proxy: &Rc<Proxy>,
+    group: &Group,
+    owners: &[Peer],
+    request: &SessionRequest,
+    link: BufferedStream,
+) -> StandInResult {
+    match proxy.stand_in(group, owners) {
+        None => StandInResult::Nobody(link),
+        Some(Successor::ThisDaemon) => {
+            proxy.on_stood_in(group);
+            StandInResult::Here(link)
+        }
+        Some(Successor::Other(peer)) => {
+            let request = request.for_stand_in();
+            match tunnel::hand_off(proxy, &[peer], &request, link).await {
+                Ok(()) => StandInResult::Served,
+                Err(returned) => {
+                    // An owner may answer again.
+                    for owner in owners {
+                        proxy.check_peer(owner);
+                    }
+                    StandInResult::Nobody(returned)
+                }
+            }
+        }
+    }
+}
+
 async fn serve_locally(proxy: &Rc<Proxy>, link: &mut BufferedStream, request: &SessionRequest) {
     if let Some(mut session) = handshake(proxy, link, request).await {
         let served = proxy.route(session.database()).map(|(_, group)| group);
         if let Some(group) = &served {
+            group.begin_service();
             group.sessions.set(group.sessions.get() + 1);
         }
         session.run(proxy, link).await;
--- a/crates/proxy/src/ownership.rs
+++ b/crates/proxy/src/ownership.rs
@@ -18,6 +18,8 @@
 /// As `CONNS_PER_OWNER`, where each connection serves one client account only.
 const CONNS_PER_OWNER_BY_ACCOUNT: u64 = 7;
 const MAX_OWNERS_BY_ACCOUNT: usize = 8;
+/// Number of daemons that may stand in for the owners of a group.
+const MAX_SUBSTITUTES: usize = 24;
 /// Separates the parts of what is hashed; no name contains it.
 const SEPARATOR: u8 = 0;
 /// Number of mantissa bits of an `f64`.
@@ -72,10 +74,42 @@
     placement: Placement,
     fleet: &[Candidate<'a>],
 ) -> Option<Vec<Candidate<'a>>> {
-    if placement == Placement::AnyOwner && fleet.len() <= MAX_SMALL_FLEET_SIZE {
-        return None;
+    let ranking = Ranking::new(group, conns, placement, fleet)?;
+    Some(ranking.owners)
+}
+
+/// The first daemons of a fleet in the ranking of a group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ranking<'a> {
+    /// Those that serve the group.
+    pub owners: Vec<Candidate<'a>>,
+    /// Those that follow, of which the first one that answers stands in while no owner does.
+    pub substitutes: Vec<Candidate<'a>>,
+}
+
+impl<'a> Ranking<'a> {
+    /// `None` when every daemon serves the group.
+    pub fn new(
+        group: &str,
+        conns: u64,
+        placement: Placement,
+        fleet: &[Candidate<'a>],
+    ) -> Option<Ranking<'a>> {
+        if placement == Placement::AnyOwner && fleet.len() <= MAX_SMALL_FLEET_SIZE {
+            return None;
+        }
+        let count = owner_count(conns, placement);
+        let mut owners = first_ranked(group, fleet, count + MAX_SUBSTITUTES);
+        let substitutes = owners.split_off(count.min(owners.len()));
+        Some(Ranking {
+            owners,
+            substitutes,
+        })
     }
-    let count = owner_count(conns, placement);
+}
+
+/// The `count` daemons of a fleet that come first in the ranking of a group, the data centres taking turns.
+fn first_ranked<'a>(group: &str, fleet: &[Candidate<'a>], count: usize) -> Vec<Candidate<'a>> {
     let mut chosen: Vec<(usize, Reverse<u64>, Candidate)> = Vec::new();
     for ranked in best_by_data_center(group, fleet, count) {
         let numbered = ranked.into_iter().enumerate();
@@ -83,7 +117,7 @@
     }
     chosen.sort_by_key(|c| (c.0, c.1));
     chosen.truncate(count);
-    Some(chosen.into_iter().map(|c| c.2).collect())
+    chosen.into_iter().map(|c| c.2).collect()
 }
 
 /// The `count` daemons of each data centre that weigh most for a group, the heaviest first. The rest
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,6 +4,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use base::Ms;
+
+use crate::Reachability;
+
 /// Maximum number of daemons that are tried for one tunnel.
 const MAX_CANDIDATES: usize = 6;
 
@@ -28,6 +32,8 @@
     /// Number of sessions handed off or being offered, by the address of the other daemon; an
     /// absent address means none.
     handed_off: RefCell<HashMap<SocketAddr, usize>>,
+    /// Which of them answer.
+    pub reachability: Reachability,
 }
 
 impl Peers {
@@ -66,6 +72,12 @@
         peers.iter().find(|p| *p.name == *name).cloned()
     }
 
+    /// Whether a daemon is known not to answer.
+    pub fn is_silent(&self, peer: &Peer) -> bool {
+        let silent_ms = self.reachability.silent_for_ms(peer.addr, Ms::now());
+        silent_ms.is_some()
+    }
+
     /// Listed daemons that serve sessions handed off by this one, or are being offered one.
     pub fn hand_off_targets(&self) -> Vec<Peer> {
         let handed_off = self.handed_off.borrow();
--- a/crates/proxy/src/quota/asking.rs
+++ b/crates/proxy/src/quota/asking.rs
@@ -297,7 +297,7 @@
 ) -> Vec<Candidate> {
     let rank = |name: &str| Reverse(xxh3_64(format!("{}.{name}", key.0).as_bytes()));
     let mut peers = proxy.peers.all();
-    peers.retain(is_candidate);
+    peers.retain(|p| is_candidate(p) && !proxy.peers.is_silent(p));
     peers.sort_by_cached_key(|peer| rank(&peer.name));
     peers.truncate(MAX_CANDIDATES);
     peers.into_iter().map(Candidate::Peer).collect()
--- a/crates/proxy/src/rehoming.rs
+++ b/crates/proxy/src/rehoming.rs
@@ -2,12 +2,12 @@
 //! owner.
 //!
 //! A daemon serves such sessions after it has known too few of the others, or while no owner could be
-//! reached. Sessions are long, and each daemon that serves a group keeps connections to all its
+//! reached (`stand_in`). Sessions are long, and each daemon that serves a group keeps connections to all its
 //! members and probes them: many such daemons together need more connections than a member accepts.
 
 use std::rc::Rc;
 
-use base::{Event, emit, sleep_ms};
+use base::{Event, Ms, emit, sleep_ms};
 
 use crate::{Group, Proxy, tunnel};
 
@@ -41,16 +41,20 @@
 
 /// Number of a group's sessions that end before the next check.
 async fn sessions_to_end(proxy: &Rc<Proxy>, group: &Group) -> u64 {
-    if group.sessions.get() == 0 || group.is_owner.get() || !proxy.peers.is_known() {
+    let is_served = group.sessions.get() > 0 || group.is_stood_in();
+    if !is_served || group.is_owner.get() || !proxy.peers.is_known() {
         return 0;
     }
-    let owner = fastrand::choice(proxy.other_owners(group));
-    let Some(owner) = owner else {
+    let mut owners = proxy.other_owners(group);
+    fastrand::shuffle(&mut owners);
+    // One that does not answer is checked anyway.
+    let Some(owner) = owners.into_iter().min_by_key(|p| proxy.peers.is_silent(p)) else {
         return 0;
     };
     // Without a reachable owner, a session is served here rather than not at all.
     if !tunnel::is_reachable(proxy, &owner).await {
         return 0;
     }
+    group.set_stand_in_until(Ms(0));
     group.sessions.get().div_ceil(ROUNDS)
 }
--- a/crates/proxy/src/session_request.rs
+++ b/crates/proxy/src/session_request.rs
@@ -12,6 +12,8 @@
     pub account: Option<Box<str>>,
     /// VM that handed the session off; `None` when the caller connected here.
     pub origin: Option<Box<str>>,
+    /// Whether the daemon that hands the session off has found no owner that answers.
+    pub is_stand_in: bool,
 }
 
 impl SessionRequest {
@@ -22,6 +24,7 @@
             credential,
             account: None,
             origin: None,
+            is_stand_in: false,
         }
     }
 
@@ -44,6 +47,16 @@
             credential: self.credential,
             account: account.map(Box::from),
             origin: Some(proxy.settings.name.clone()),
+            is_stand_in: self.is_stand_in,
+        }
+    }
+
+    /// The request for a daemon that is to stand in for the owners.
+    #[must_use]
+    pub fn for_stand_in(&self) -> SessionRequest {
+        SessionRequest {
+            is_stand_in: true,
+            ..self.clone()
         }
     }
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -260,7 +260,7 @@
     }
 
     /// The owners of a group, computed again if the list of daemons or the configuration has changed.
-    fn owner_set(&self, group: &Group) -> Rc<OwnerSet> {
+    pub(crate) fn owner_set(&self, group: &Group) -> Rc<OwnerSet> {
         let basis = OwnerBasis {
             peers: self.peers.generation(),
             conns: group.rule.borrow().conns,
@@ -290,7 +290,11 @@
             return;
         }
         for group in self.groups.borrow().values() {
-            group.is_owner.set(self.owner_set(group).is_owner());
+            let is_owner = self.owner_set(group).is_owner();
+            if is_owner {
+                group.begin_service();
+            }
+            group.is_owner.set(is_owner);
         }
     }
 
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -86,6 +86,10 @@
     pub retries: Counter,
     /// Statements that were given up because the daemon stops.
     pub given_up: Counter,
+    /// Sessions served because no owner of their group answers.
+    pub stood_in: Counter,
+    /// Number of daemons that do not answer; set when the metrics are served.
+    pub silent_daemons: Gauge,
     /// Primary changes that this daemon has completed.
     pub changes: Counter,
     /// Number of groups whose change of primary is blocked; set when the metrics are served.
@@ -123,6 +127,8 @@
             wait: Histogram::new(BUCKETS_MS),
             retries: Counter::default(),
             given_up: Counter::default(),
+            stood_in: Counter::default(),
+            silent_daemons: Gauge::default(),
             changes: Counter::default(),
             blocked_groups: Gauge::default(),
             sessions: Gauge::default(),
@@ -151,6 +157,10 @@
         registry.register("retries", help, stats.retries.clone());
         let help = "Statements answered unserved because the daemon stops";
         registry.register("given_up", help, stats.given_up.clone());
+        let help = "Sessions served because no owner of their group answers";
+        registry.register("stood_in", help, stats.stood_in.clone());
+        let help = "Other daemons that do not answer this one";
+        registry.register("silent_daemons", help, stats.silent_daemons.clone());
         let help = "Changes of primary run to their end";
         registry.register("changes", help, stats.changes.clone());
         let help =
--- a/crates/proxy/src/tunnel/connect.rs
+++ b/crates/proxy/src/tunnel/connect.rs
@@ -81,7 +81,16 @@
     peer: SocketAddr,
     head: &str,
 ) -> Result<(BufferedStream, Option<u64>), PeerError> {
-    let timeout = Duration::from_millis(PEER_IO_TIMEOUT_MS);
+    send_head_within(peer, head, PEER_IO_TIMEOUT_MS).await
+}
+
+/// As `send_head`, with another timeout, in ms.
+pub(super) async fn send_head_within(
+    peer: SocketAddr,
+    head: &str,
+    timeout_ms: u64,
+) -> Result<(BufferedStream, Option<u64>), PeerError> {
+    let timeout = Duration::from_millis(timeout_ms);
     let result = monoio::time::timeout(timeout, exchange_heads(peer, head)).await;
     result.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
 }
--- a/crates/proxy/src/tunnel/hand_off.rs
+++ b/crates/proxy/src/tunnel/hand_off.rs
@@ -7,7 +7,8 @@
 use bytes::BytesMut;
 use link::BufferedStream;
 
-use super::connect::{PeerError, announce_stop, send_head};
+use super::PEER_IO_TIMEOUT_MS;
+use super::connect::{PeerError, announce_stop, send_head_within};
 use super::due::Due;
 use super::exchange::Exchange;
 use super::head::encode_hand_off;
@@ -19,6 +20,8 @@
 
 /// Time without bytes after which the reply to a handed-off caller counts as complete.
 const REPLY_SILENCE_MS: u64 = 100;
+/// Timeout for a daemon that is asked to stand in, in ms. It checks those that rank before it first.
+const STAND_IN_TIMEOUT_MS: u64 = 600;
 
 /// Hands a caller's session off to the first of several daemons that accepts it, and forwards bytes
 /// both ways until it ends. Input that is already buffered is forwarded first.
@@ -40,11 +43,20 @@
         proxy.config_version.get(),
         &request.for_owner(proxy, account.as_deref()),
     );
+    let timeout_ms = if request.is_stand_in {
+        STAND_IN_TIMEOUT_MS
+    } else {
+        PEER_IO_TIMEOUT_MS
+    };
     for peer in peers {
         // Counted before the attempt, so that a configuration that comes into force meanwhile is
         // pushed to this peer too.
         proxy.peers.add_handed_off(peer.addr);
-        let answer = send_head(peer.addr, &head).await;
+        let answer = send_head_within(peer.addr, &head, timeout_ms).await;
+        match &answer {
+            Err(PeerError::Io(_)) => proxy.on_peer_silence(peer),
+            _ => proxy.on_peer_answer(peer),
+        }
         if let Ok((_, Some(version))) | Err(PeerError::Refused(Some(version))) = &answer {
             proxy.hear_version(*version, &peer.name);
         }
--- a/crates/proxy/src/tunnel/head.rs
+++ b/crates/proxy/src/tunnel/head.rs
@@ -8,6 +8,7 @@
 const DATABASE_HEADER: &str = "database";
 const CREDENTIAL_HEADER: &str = "credential";
 const ACCOUNT_HEADER: &str = "account";
+const STAND_IN_HEADER: &str = "stand-in";
 const ANSWER_HEADER: &str = "answer-within-ms";
 
 /// Encodes the head of a request without headers of its own.
@@ -45,6 +46,9 @@
     if let Some(account) = &request.account {
         add(ACCOUNT_HEADER, &escape(account));
     }
+    if request.is_stand_in {
+        add(STAND_IN_HEADER, "1");
+    }
     head.push_str("\r\n");
     head
 }
@@ -67,6 +71,7 @@
         credential,
         account,
         origin: Some(unescape(origin)?),
+        is_stand_in: header(head, STAND_IN_HEADER).is_some(),
     };
     Some((version.parse().ok()?, request))
 }
--- a/crates/proxy/src/tunnel/mod.rs
+++ b/crates/proxy/src/tunnel/mod.rs
@@ -3,8 +3,8 @@
 //! - `IP:PORT`: a tunnel to the member at this address.
 //! - `session.VERSION.VM`: the hand-off of a caller's session to an owner of its group. The headers
 //!   hold what the caller's first message said: `database`, `credential` (the digest of its key, if
-//!   it has sent one) and `account` (the one that the sender has found, if any). The messages that
-//!   follow the first one pass on the connection.
+//!   it has sent one) and `account` (the one that the sender has found, if any). `stand-in` says that no
+//!   owner answers the sender. The messages that follow the first one pass on the connection.
 //! - `config.VERSION`: the push of a configuration.
 //! - `quota.VERSION.SHARD`: requests to the keeper of a shard of the rate limits.
 //! - `version.VERSION.VM`: the version of the configuration in force on a VM; no bytes follow the
--- a/crates/proxy/src/tunnel/server.rs
+++ b/crates/proxy/src/tunnel/server.rs
@@ -108,9 +108,17 @@
     // next owner that it asks accepts.
     // A daemon that stops would have to end the session again.
     let group = proxy.route(&request.database).map(|(_, group)| group);
-    if proxy.is_stopping()
-        || proxy.peers.is_known() && group.is_some_and(|group| !group.is_owner.get())
-    {
+    let is_served = match &group {
+        Some(group) if proxy.peers.is_known() && !group.is_owner.get() => {
+            let stands_in = request.is_stand_in && proxy.stands_in(group).await;
+            if stands_in {
+                proxy.on_stood_in(group);
+            }
+            stands_in
+        }
+        _ => true,
+    };
+    if proxy.is_stopping() || !is_served {
         return write_versioned_response(proxy, &mut stream, STATUS_REFUSED).await;
     }
     write_versioned_response(proxy, &mut stream, STATUS_OK).await?;
--- a/crates/proxy/src/tunnel/version.rs
+++ b/crates/proxy/src/tunnel/version.rs
@@ -33,6 +33,10 @@
     let version = proxy.config_version.get();
     let target = format!("{VERSION_PREFIX}{version}.{}", proxy.settings.name);
     let answer = send_head(peer.addr, &encode_request(&target)).await;
+    match &answer {
+        Err(PeerError::Io(_)) => proxy.on_peer_silence(peer),
+        _ => proxy.on_peer_answer(peer),
+    }
     let (Ok((_, Some(theirs))) | Err(PeerError::Refused(Some(theirs)))) = answer else {
         return false;
     };
--- a/crates/proxy/tests/conn_budget.rs
+++ b/crates/proxy/tests/conn_budget.rs
@@ -2,7 +2,9 @@
 
 mod conn_replay;
 
+use base::Ms;
 use conn_replay::{DEADLINE_MS, End, Op, Replay};
+use proxy::{AccountKey, ConnBudget, ConnEntry, ConnKey, ConnState, ConnStep, Purpose};
 
 /// Slot time of a statement, in ms.
 const SERVICE_MS: u64 = 8;
@@ -278,3 +280,43 @@
     assert!(last.served && last.op.account == 5, "{last:?}");
     assert_eq!(replay.count(5), 1);
 }
+
+/// Guards against members that get more connections than they accept: the owners behind a cut use their
+/// shares while another daemon stands in for them.
+#[test]
+fn a_stand_in_leaves_the_owners_their_shares() {
+    const LIMIT: u64 = 16;
+    const OWNERS: u64 = 3;
+    let budget = |used, stands_in| ConnBudget {
+        limit: LIMIT,
+        used,
+        growth: 0,
+        owners: OWNERS,
+        stands_in,
+        slots: 4,
+        max_opening: 4,
+        retry_at: Ms(0),
+    };
+    let owner = budget(0, false).share();
+    let stand_in = budget(0, true).share();
+    // Each daemon has a control connection besides.
+    assert!(
+        OWNERS * (owner + 1) + stand_in < LIMIT,
+        "{owner} {stand_in}"
+    );
+    let account = Some(AccountKey(0));
+    let conns = [ConnEntry {
+        key: ConnKey(0),
+        purpose: Purpose::Statements(account),
+        state: ConnState::Held,
+        since: Ms(0),
+        opened_at: Ms(0),
+    }];
+    let step = |used| budget(used, true).next_step(&conns, account, false, Ms(10_000));
+    assert_eq!(
+        step(OWNERS * (owner + 1)),
+        ConnStep::Wait,
+        "the shares are in use"
+    );
+    assert_eq!(step(3), ConnStep::Open, "the member has free connections");
+}
--- a/crates/proxy/tests/conn_replay/mod.rs
+++ b/crates/proxy/tests/conn_replay/mod.rs
@@ -112,6 +112,7 @@
             used: (reported + daemon.conns.len() as u64).saturating_sub(own_then as u64),
             growth: (daemon.conns.len() as u64).saturating_sub(own_then as u64),
             owners: self.daemons.len() as u64,
+            stands_in: false,
             slots: self.slots,
             max_opening: self.slots,
             retry_at: Ms(daemon.retry_at),
