--- a/crates/proxy/src/replica_recorder.rs
+++ b/crates/proxy/src/replica_recorder.rs
@@ -61,16 +61,13 @@
         // Written together with the first members, the leader needs no write of its own.
         return group.last_leader().is_some() || group.missing_for_ms() >= LEADER_WAIT_MS;
     }
-    let rank = rank(proxy, group);
-    if rank == 0 && group.is_leader_outdated() {
-        return true;
-    }
-    if group.settled_on_record().is_empty() {
+    if !group.is_leader_outdated() && group.settled_on_record().is_empty() {
         *outdated_since = None;
         return false;
     }
+    // The first ones may be on machines that are gone.
     let since = *outdated_since.get_or_insert_with(Ms::now);
-    since.elapsed() >= rank * OUTDATED_STEP_MS
+    since.elapsed() >= rank(proxy, group) * OUTDATED_STEP_MS
 }
 
 /// Brings the record up to date; false when a call fails.
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -90,6 +90,8 @@
     pub stood_in: Counter,
     /// Number of daemons that do not answer; set when the metrics are served.
     pub silent_daemons: Gauge,
+    /// Number of records of other daemons that were not renewed in time; set at intervals.
+    pub overdue_records: Gauge,
     /// Primary changes that this daemon has completed.
     pub changes: Counter,
     /// Number of groups whose change of primary is blocked; set when the metrics are served.
@@ -129,6 +131,7 @@
             given_up: Counter::default(),
             stood_in: Counter::default(),
             silent_daemons: Gauge::default(),
+            overdue_records: Gauge::default(),
             changes: Counter::default(),
             blocked_groups: Gauge::default(),
             sessions: Gauge::default(),
@@ -161,6 +164,8 @@
         registry.register("stood_in", help, stats.stood_in.clone());
         let help = "Other daemons that do not answer this one";
         registry.register("silent_daemons", help, stats.silent_daemons.clone());
+        let help = "Records of other daemons that were not renewed in time";
+        registry.register("overdue_records", help, stats.overdue_records.clone());
         let help = "Changes of primary run to their end";
         registry.register("changes", help, stats.changes.clone());
         let help =
--- a/crates/world/src/api.rs
+++ b/crates/world/src/api.rs
@@ -206,6 +206,16 @@
             }
         });
     }
+    if request.method == "DELETE" {
+        let revision = request.query.get("revision").and_then(|r| r.parse().ok());
+        return Ok(
+            match store.remove_if_revision(kind, name.unwrap_or(""), revision) {
+                Ok(object) => (200, object),
+                Err(PutError::Conflict(object)) => (409, object),
+                Err(PutError::NotFound) => (404, Value::Null),
+            },
+        );
+    }
     let spec = &request.body["spec"];
     let body_name = request.body["meta"]["name"].as_str().unwrap_or("");
     let revision = request.body["meta"]["revision"].as_u64();
--- a/crates/world/src/store.rs
+++ b/crates/world/src/store.rs
@@ -248,6 +248,24 @@
         Ok(self.put(kind, name, spec))
     }
 
+    /// Removes an object if its current revision is `revision`, or `None` is given; returns it.
+    ///
+    /// # Errors
+    /// Those of `put_if_revision`.
+    pub fn remove_if_revision(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: Option<u64>,
+    ) -> Result<Value, PutError> {
+        let object = self.get(kind, name).ok_or(PutError::NotFound)?;
+        if revision.is_some_and(|wanted| object["meta"]["revision"] != wanted) {
+            return Err(PutError::Conflict(object));
+        }
+        self.remove(kind, name);
+        Ok(object)
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let key = (kind.into(), name.into());
         self.make_copy();
