--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,7 +1,7 @@
 //! The other daemons of the fleet, as this one knows them.
 
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use base::Ms;
@@ -41,6 +41,8 @@
     pub fn set(&self, mut peers: Vec<Peer>) {
         peers.sort_by(|a, b| a.name.cmp(&b.name));
         if peers != *self.list.borrow() {
+            let addrs: HashSet<SocketAddr> = peers.iter().map(|p| p.addr).collect();
+            self.reachability.retain(|addr| addrs.contains(&addr));
             self.list.replace(peers);
             self.generation.set(self.generation.get() + 1);
         }
--- a/crates/proxy/src/reachability.rs
+++ b/crates/proxy/src/reachability.rs
@@ -58,9 +58,9 @@
         true
     }
 
-    /// Forgets a daemon that is listed no longer.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.states.borrow_mut().remove(&addr);
+    /// Forgets the daemons that are listed no longer.
+    pub fn retain(&self, is_listed: impl Fn(SocketAddr) -> bool) {
+        self.states.borrow_mut().retain(|addr, _| is_listed(*addr));
     }
 
     /// For how long a daemon has not answered, in ms; `None` unless the last attempt got no answer.
--- a/crates/proxy/src/stand_in.rs
+++ b/crates/proxy/src/stand_in.rs
@@ -130,14 +130,6 @@
         let Some(silent_ms) = reachability.silent_for_ms(peer.addr, Ms::now()) else {
             return;
         };
-        if proxy
-            .peers
-            .find(&peer.name)
-            .is_none_or(|p| p.addr != peer.addr)
-        {
-            reachability.forget(peer.addr);
-            return;
-        }
         sleep_ms(Reachability::check_interval_ms(silent_ms)).await;
         tunnel::is_reachable(&proxy, &peer).await;
     }
