--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -127,6 +127,9 @@
     let stops = long("stops")
         .help("also stop daemons in series, beside planned changes of primary")
         .switch();
+    let replaced = long("replaced")
+        .help("also replace machines for good, under new names and addresses")
+        .switch();
     let logs = long("logs")
         .help("directory of the logs, by default in the target directory")
         .argument::<std::path::PathBuf>("DIR")
@@ -144,6 +147,7 @@
         build,
         late_orders,
         stops,
+        replaced,
         logs
     });
     construct!(Task::Soak(options))
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -59,7 +59,7 @@
     let kind = rng.u8(..11);
     let other = (i + 1 + rng.usize(..2)) % group.members.len();
     let n = rng.usize(..fleet.daemons.len());
-    let daemon: Box<str> = fleet.daemons[n].name.as_str().into();
+    let daemon: Box<str> = fleet.daemons[n].vm.borrow().clone();
     let cut_answers = rng.bool();
     let freeze_ms = rng.u64(FREEZE_MS.0..FREEZE_MS.1);
     let fleet = fleet.clone();
@@ -132,9 +132,11 @@
 
 /// Starts a random outage of the platform's APIs, compacts the store or changes the configuration.
 fn store_fault(world: &Rc<World>, fleet: &Fleet, rng: &mut fastrand::Rng, duration_ms: u64) {
-    let daemon = fleet.daemons[rng.usize(..fleet.daemons.len())]
-        .name
-        .as_str();
+    let vm = fleet.daemons[rng.usize(..fleet.daemons.len())]
+        .vm
+        .borrow()
+        .clone();
+    let daemon = &*vm;
     // An empty name stands for all daemons.
     let target = if rng.bool() { daemon } else { "" };
     match rng.u8(..11) {
--- a/xtask/src/soak/fleet.rs
+++ b/xtask/src/soak/fleet.rs
@@ -15,8 +15,11 @@
 use super::{Options, sleep_ms};
 
 pub struct Daemon {
-    /// Name of the daemon's VM.
+    /// Name of the first VM, which stays that of the log.
     pub name: String,
+    /// Name of the VM on which it runs.
+    pub vm: RefCell<Box<str>>,
+    data_center: String,
     /// Address that callers connect to.
     pub listen_addr: String,
     ready_addr: String,
@@ -90,13 +93,9 @@
             let (listen, ready) = (local_addr(&addrs.listen)?, local_addr(&addrs.ready)?);
             let internal = local_addr(&addrs.internal)?;
             let settings_path = folder.join(format!("{seed}-{name}.yaml"));
-            let text = format!(
-                "name: {name}\ndata_center: z{}\nlisten: {listen}\nready: {ready}\n\
-                 internal: {internal}\nstore: {store}\norders: {orders}\ngrace_ms: 4000\n",
-                n % 3
-            );
-            std::fs::write(&settings_path, text).map_err(|e| e.to_string())?;
-            daemons.push(Daemon {
+            let daemon = Daemon {
+                vm: RefCell::new(name.as_str().into()),
+                data_center: format!("z{}", n % 3),
                 name,
                 listen_addr: listen,
                 ready_addr: ready,
@@ -107,7 +106,11 @@
                 is_new: Cell::new(options.former_build.is_none()),
                 disrupted: Cell::new(false),
                 seen_version: Cell::new(0),
-            });
+            };
+            daemon
+                .write_settings(&internal, &store, &orders)
+                .map_err(|e| e.to_string())?;
+            daemons.push(daemon);
         }
         drop(reserved);
         let fleet = Rc::new(Fleet {
@@ -148,6 +151,22 @@
         Ok(())
     }
 
+    /// Starts a daemon on a new VM, under a new name and at a new internal address; the record of the former
+    /// one stays in the store. Callers reach it where they reached the former one.
+    pub fn replace_machine(&self, world: &Rc<World>, n: usize) -> Result<(), String> {
+        let daemon = &self.daemons[n];
+        let vm = format!("{}-start-{}", daemon.name, daemon.launches.get());
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+        let internal = local_addr(&listener)?;
+        let (store, orders) = world.start_endpoints(&vm);
+        daemon.vm.replace(vm.into());
+        daemon
+            .write_settings(&internal, &store, &orders)
+            .map_err(|e| e.to_string())?;
+        drop(listener);
+        self.launch(daemon)
+    }
+
     /// Waits until every daemon is ready; fails once the deadline has passed.
     pub async fn wait_ready(&self, deadline: Ms) -> Result<(), String> {
         for daemon in &self.daemons {
@@ -172,6 +191,18 @@
 }
 
 impl Daemon {
+    fn write_settings(&self, internal: &str, store: &str, orders: &str) -> std::io::Result<()> {
+        let text = format!(
+            "name: {}\ndata_center: {}\nlisten: {}\nready: {}\n\
+             internal: {internal}\nstore: {store}\norders: {orders}\ngrace_ms: 4000\n",
+            self.vm.borrow(),
+            self.data_center,
+            self.listen_addr,
+            self.ready_addr
+        );
+        std::fs::write(&self.settings_path, text)
+    }
+
     /// Whether the health probe of the load balancer succeeds.
     pub async fn is_ready(&self) -> bool {
         let timeout = std::time::Duration::from_millis(500);
--- a/xtask/src/soak/late_orders.rs
+++ b/xtask/src/soak/late_orders.rs
@@ -224,11 +224,8 @@
             world.order_delay_ms.set(delay_ms);
             return;
         };
-        let name = self.fleet.daemons[n].name.as_str();
-        world
-            .order_delays
-            .borrow_mut()
-            .insert(name.into(), delay_ms);
+        let name = self.fleet.daemons[n].vm.borrow().clone();
+        world.order_delays.borrow_mut().insert(name, delay_ms);
     }
 
     /// Waits for the next order for a group after the first `seen` calls; `None` if it takes too long.
@@ -253,7 +250,7 @@
         let writer = writer.filter(|_| scenario.hits_writer);
         let name = writer.unwrap_or_else(|| call.holder.clone());
         let daemons = &self.fleet.daemons;
-        let Some(n) = daemons.iter().position(|d| *d.name == *name) else {
+        let Some(n) = daemons.iter().position(|d| *d.vm.borrow() == name) else {
             return;
         };
         match scenario.daemon_fault {
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod late_orders;
 mod ledger;
+mod replaced;
 mod stops;
 mod trace;
 
@@ -47,6 +48,8 @@
     pub late_orders: bool,
     /// Whether daemons are also stopped in series, beside planned changes of primary.
     pub stops: bool,
+    /// Whether machines are also replaced for good, until all were replaced twice.
+    pub replaced: bool,
     /// Directory of the daemons' settings and logs; `None` for one in the target directory.
     pub logs: Option<std::path::PathBuf>,
 }
@@ -154,6 +157,7 @@
     // Apart from the other draws, which are the same with and without late orders.
     let mut late_rng = fastrand::Rng::with_seed(!seed);
     let mut stop_rng = fastrand::Rng::with_seed(seed.rotate_left(2));
+    let mut replaced_rng = fastrand::Rng::with_seed(seed.rotate_left(3));
     let mut silent_rng = fastrand::Rng::with_seed(seed.rotate_left(1));
     let late_orders = options.late_orders.then(|| LateOrders::new(&world, &fleet));
     if options.late_orders {
@@ -171,6 +175,15 @@
             .clone()
             .filter(|_| seed.is_multiple_of(SILENT_SEEDS))
             .map(|late_orders| monoio::spawn(late_orders.silence(silent_rng.fork(), round_ms)));
+        if options.replaced {
+            let (world, fleet) = (world.clone(), fleet.clone());
+            monoio::spawn(replaced::inject(
+                world,
+                fleet,
+                replaced_rng.fork(),
+                round_ms,
+            ));
+        }
         if options.stops {
             let (world, fleet) = (world.clone(), fleet.clone());
             monoio::spawn(stops::inject(world, fleet, stop_rng.fork(), round_ms));
